--- /dev/null
+++ b/src/cloud/fleet.rs
@@ -0,0 +1,525 @@
+//! Decisions about the fleet. No I/O: calls are returned as effects.
+
+use crate::config::Config;
+use crate::ids::{Amounts, MachineId, Revision, Span, Time, TypeName, Zone};
+use crate::placement::{Scheduler, Shortage};
+use crate::store::replica::Replica;
+use crate::wire::{Catalog, ListedMachine, MachineState, MachineType, RentRequest};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Debug)]
+pub enum Effect {
+    Rent(RentRequest),
+    Delete(Vec<MachineId>),
+    List,
+    Catalog,
+    /// The machine is proved gone: its record goes, with all placements on it.
+    DropRecord(MachineId),
+}
+
+#[derive(Debug)]
+pub enum RentOutcome {
+    Rented(Vec<MachineId>),
+    NoCapacity,
+    /// Refused for now, or no answer: the same request may be repeated.
+    Again,
+    Malformed,
+}
+
+const LIST: Span = Span(2500);
+const CATALOG: Span = Span(60_000);
+const NO_CAPACITY: Span = Span(15_000);
+const RETRY: Span = Span(1500);
+const MOST_RENTED: u32 = 50;
+const MOST_DELETED: usize = 100;
+/// Past this many boot times a machine will not come up any more.
+const BOOT_GIVEN_UP: f64 = 4.0;
+/// Past this many it is not counted on.
+const BOOT_LATE: f64 = 2.0;
+
+#[derive(Clone, Debug)]
+struct Boot {
+    type_name: TypeName,
+    zone: Zone,
+    spot: bool,
+    rented: Time,
+    seen: Time,
+}
+
+#[derive(Debug)]
+struct Rental {
+    request: RentRequest,
+    sent: bool,
+    retry_at: Time,
+    since: Time,
+}
+
+pub struct Fleet {
+    config: Config,
+    term: Revision,
+    counter: u64,
+    booting: BTreeMap<MachineId, Boot>,
+    failed: BTreeSet<MachineId>,
+    rentals: Vec<Rental>,
+    no_capacity: BTreeMap<(TypeName, Zone, bool), Time>,
+    deleting: BTreeMap<MachineId, Time>,
+    /// Deleted lately: the list still shows them for a while.
+    deleted: BTreeMap<MachineId, Time>,
+    idle_since: BTreeMap<MachineId, Time>,
+    next_list: Time,
+    listing: bool,
+    next_catalog: Time,
+    next_return: Time,
+    catalog: Option<Catalog>,
+}
+
+impl Fleet {
+    pub fn new(config: &Config) -> Self {
+        Self {
+            config: config.clone(),
+            term: Revision(0),
+            counter: 0,
+            booting: BTreeMap::new(),
+            failed: BTreeSet::new(),
+            rentals: Vec::new(),
+            no_capacity: BTreeMap::new(),
+            deleting: BTreeMap::new(),
+            deleted: BTreeMap::new(),
+            idle_since: BTreeMap::new(),
+            next_list: Time::default(),
+            listing: false,
+            next_catalog: Time::default(),
+            next_return: Time::default(),
+            catalog: None,
+        }
+    }
+
+    pub fn on_catalog(&mut self, now: Time, catalog: Option<Catalog>) {
+        self.next_catalog = now
+            + if catalog.is_some() {
+                CATALOG
+            } else {
+                Span(1000)
+            };
+        if catalog.is_some() {
+            self.catalog = catalog;
+        }
+    }
+
+    /// The catalog to write, if the stored one is another; prices move all the time and are
+    /// only stored along with a change of substance.
+    pub fn catalog_to_store(&self, replica: &Replica) -> Option<&Catalog> {
+        let new = self.catalog.as_ref()?;
+        let plain = |c: &Catalog| -> Vec<MachineType> {
+            let strip = |t: &MachineType| MachineType {
+                price: 0.0,
+                spot_price: 0.0,
+                ..t.clone()
+            };
+            c.types.iter().map(strip).collect()
+        };
+        let same = replica
+            .catalog
+            .as_ref()
+            .is_some_and(|old| plain(&old.value) == plain(new));
+        (!same).then_some(new)
+    }
+
+    pub fn on_list(&mut self, now: Time, machines: Option<Vec<ListedMachine>>, replica: &Replica) {
+        self.listing = false;
+        self.next_list = now + LIST;
+        let Some(machines) = machines else { return };
+        for m in machines {
+            if self.deleted.contains_key(&m.id) {
+                continue;
+            }
+            if m.state == MachineState::Failed {
+                self.failed.insert(m.id);
+            } else if !replica.machines.contains_key(&m.id) {
+                let boot = Boot {
+                    type_name: m.type_name,
+                    zone: m.zone,
+                    spot: m.spot,
+                    rented: now - Span::from_secs(m.age_s),
+                    seen: now,
+                };
+                self.booting
+                    .entry(m.id)
+                    .and_modify(|b| b.seen = now)
+                    .or_insert(boot);
+            }
+        }
+    }
+
+    pub fn on_rent(&mut self, now: Time, request: &RentRequest, outcome: RentOutcome) {
+        let Some(at) = self
+            .rentals
+            .iter()
+            .position(|r| r.request.request == request.request)
+        else {
+            return;
+        };
+        match outcome {
+            RentOutcome::Rented(machines) => {
+                let rental = self.rentals.remove(at);
+                for id in machines {
+                    let boot = Boot {
+                        type_name: request.type_name.clone(),
+                        zone: request.zone.clone(),
+                        spot: request.spot,
+                        rented: rental.since,
+                        seen: now,
+                    };
+                    self.booting.entry(id).or_insert(boot);
+                }
+            }
+            RentOutcome::NoCapacity => {
+                self.rentals.remove(at);
+                let kind = (
+                    request.type_name.clone(),
+                    request.zone.clone(),
+                    request.spot,
+                );
+                self.no_capacity.insert(kind, now + NO_CAPACITY);
+            }
+            RentOutcome::Malformed => {
+                self.rentals.remove(at);
+            }
+            RentOutcome::Again => {
+                let rental = &mut self.rentals[at];
+                rental.sent = false;
+                rental.retry_at = now + RETRY;
+                // Demand has changed since; the name is never used again, and what the request
+                // may still rent is found in the list.
+                if now.since(rental.since) > Span(20_000) {
+                    self.rentals.remove(at);
+                }
+            }
+        }
+    }
+
+    pub fn on_deleted(&mut self, now: Time, ids: &[MachineId], ok: bool, out: &mut Vec<Effect>) {
+        for id in ids {
+            if ok {
+                self.deleting.remove(id);
+                self.failed.remove(id);
+                self.booting.remove(id);
+                self.idle_since.remove(id);
+                self.deleted.insert(id.clone(), now);
+                out.push(Effect::DropRecord(id.clone()));
+            } else {
+                self.deleting.insert(id.clone(), now + RETRY);
+            }
+        }
+    }
+
+    fn enter(&mut self, term: Revision, now: Time) {
+        if self.term != term {
+            self.term = term;
+            self.counter = 0;
+            self.rentals.clear();
+            self.deleting.clear();
+            self.idle_since.clear();
+            self.next_list = now;
+        }
+    }
+
+    pub fn drive(
+        &mut self,
+        now: Time,
+        term: Revision,
+        replica: &Replica,
+        scheduler: &mut Scheduler,
+        out: &mut Vec<Effect>,
+    ) {
+        self.enter(term, now);
+        if !self.listing && now >= self.next_list {
+            self.listing = true;
+            out.push(Effect::List);
+        }
+        if now >= self.next_catalog {
+            self.next_catalog = now + Span(5000);
+            out.push(Effect::Catalog);
+        }
+        self.booting
+            .retain(|id, b| !replica.machines.contains_key(id) && now.since(b.seen) < Span(30_000));
+        self.deleted.retain(|_, at| now.since(*at) < Span(60_000));
+        self.no_capacity.retain(|_, until| now < *until);
+        for id in self.given_up(now, replica, scheduler) {
+            self.deleting.entry(id).or_insert(now);
+        }
+        for id in self.unused(now, replica, scheduler) {
+            self.deleting.entry(id).or_insert(now);
+        }
+        // A record that came back with a late report, or whose removal failed, goes as well.
+        for id in self.deleted.keys() {
+            if replica.machines.contains_key(id) {
+                out.push(Effect::DropRecord(id.clone()));
+            }
+        }
+        let due: Vec<MachineId> = self
+            .deleting
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(id, _)| id.clone())
+            .take(MOST_DELETED)
+            .collect();
+        if !due.is_empty() {
+            for id in &due {
+                self.deleting.insert(id.clone(), now + Span(8000));
+                scheduler.leaving.insert(id.clone());
+            }
+            out.push(Effect::Delete(due));
+        }
+        self.rent(now, replica, scheduler);
+        for rental in &mut self.rentals {
+            if !rental.sent && now >= rental.retry_at {
+                rental.sent = true;
+                out.push(Effect::Rent(rental.request.clone()));
+            }
+        }
+    }
+
+    fn boot_time(&self, type_name: &TypeName, replica: &Replica) -> f64 {
+        replica.machine_type(type_name).map_or(60.0, |t| t.boot_s)
+    }
+
+    /// Machines that failed, never came up, or have been silent for too long. Deleting them is
+    /// also the proof that their tasks are gone.
+    fn given_up(&self, now: Time, replica: &Replica, scheduler: &Scheduler) -> Vec<MachineId> {
+        let mut list: Vec<MachineId> = self.failed.iter().cloned().collect();
+        for (id, boot) in &self.booting {
+            let limit = BOOT_GIVEN_UP * self.boot_time(&boot.type_name, replica).max(10.0);
+            if now.since(boot.rented) > Span::from_secs(limit) {
+                list.push(id.clone());
+            }
+        }
+        let patience = Span::from_secs(replica.settings().silent_s)
+            .max(self.config.report + Span(self.config.report.0 / 4 + 2500));
+        let mut by_holder: BTreeMap<&str, (usize, Vec<&MachineId>)> = BTreeMap::new();
+        for (id, health) in &scheduler.health {
+            let lease = replica.blocks.get(&id.block(self.config.blocks()));
+            let Some(lease) = lease.filter(|l| l.revision == health.last.fence) else {
+                continue;
+            };
+            let entry = by_holder.entry(lease.value.holder.as_str()).or_default();
+            entry.0 += 1;
+            if health.last.silent >= patience && now.since(health.at) < Span(3000) {
+                entry.1.push(id);
+            }
+        }
+        for (count, silent) in by_holder.into_values() {
+            // When most of a holder's machines are silent, it is the holder that hears nothing.
+            if silent.len() <= 1.max(count / 2) {
+                list.extend(silent.into_iter().cloned());
+            }
+        }
+        list
+    }
+
+    /// Machines that have been unused for long enough, one at a time.
+    fn unused(
+        &mut self,
+        now: Time,
+        replica: &Replica,
+        scheduler: &mut Scheduler,
+    ) -> Vec<MachineId> {
+        let settings = replica.settings();
+        let mut ready = Vec::new();
+        let mut free_cpus = 0;
+        let mut service_cpus = 0;
+        for job in replica.jobs.values() {
+            if job.spec.kind == crate::wire::Kind::Service {
+                service_cpus += job.spec.need().cpus * u64::from(job.spec.tasks);
+            }
+        }
+        for (id, machine) in &replica.machines {
+            let Some(machine_type) = replica.machine_type(&machine.record.type_name) else {
+                continue;
+            };
+            if scheduler.usable(now, id, replica) && !machine.record.spot {
+                free_cpus += (machine_type.room() - machine.record.used()).cpus;
+            }
+            if !machine.record.jobs.is_empty() {
+                self.idle_since.remove(id);
+                continue;
+            }
+            let since = *self.idle_since.entry(id.clone()).or_insert(now);
+            if now.since(since) >= Span::from_secs(settings.idle_s) {
+                ready.push((machine.record.spot, machine_type.room().cpus, id.clone()));
+            }
+        }
+        self.idle_since
+            .retain(|id, _| replica.machines.contains_key(id));
+        // Those that are leaving go once nothing can be on its way to them any more.
+        let mut list: Vec<MachineId> = Vec::new();
+        for (_, _, id) in &ready {
+            if scheduler.leaving.contains(id)
+                && !self.deleting.contains_key(id)
+                && scheduler.block_is_quiet(id.block(self.config.blocks()))
+            {
+                list.push(id.clone());
+            }
+        }
+        let short = scheduler.shortages.iter().any(|s| s.tasks > 0);
+        if !short && now >= self.next_return {
+            let spare = (service_cpus as f64 * settings.service_spare) as u64;
+            let next = ready.iter().find(|(spot, cpus, id)| {
+                !scheduler.leaving.contains(id) && (*spot || free_cpus >= spare + cpus)
+            });
+            if let Some((_, _, id)) = next {
+                self.next_return = now + Span(1000);
+                scheduler.leaving.insert(id.clone());
+            }
+        }
+        list
+    }
+
+    /// Rents for what found no room, less what is already on its way.
+    fn rent(&mut self, now: Time, replica: &Replica, scheduler: &Scheduler) {
+        let settings = replica.settings();
+        let Some(catalog) = self
+            .catalog
+            .as_ref()
+            .or(replica.catalog.as_ref().map(|c| &c.value))
+        else {
+            return;
+        };
+        let catalog = catalog.clone();
+        let mut coming: Vec<(TypeName, Zone, bool, Amounts)> = Vec::new();
+        for boot in self.booting.values() {
+            let late = BOOT_LATE * self.boot_time(&boot.type_name, replica);
+            if let Some(t) = catalog.types.iter().find(|t| t.name == boot.type_name)
+                && now.since(boot.rented) < Span::from_secs(late)
+            {
+                coming.push((
+                    boot.type_name.clone(),
+                    boot.zone.clone(),
+                    boot.spot,
+                    t.room(),
+                ));
+            }
+        }
+        for rental in &self.rentals {
+            let r = &rental.request;
+            if let Some(t) = catalog.types.iter().find(|t| t.name == r.type_name) {
+                for _ in 0..r.count {
+                    coming.push((r.type_name.clone(), r.zone.clone(), r.spot, t.room()));
+                }
+            }
+        }
+        let shortages = scheduler.shortages.clone();
+        for shortage in shortages {
+            let Some(job) = replica.jobs.get(&shortage.job) else {
+                continue;
+            };
+            let spec = &job.spec;
+            // Short tasks follow one another on the same machine.
+            let rounds = if shortage.service {
+                1
+            } else {
+                ((settings.rent_work_s / shortage.seconds.max(1.0)).floor() as u64).max(1)
+            };
+            let mut left = shortage.tasks.div_ceil(rounds);
+            for (type_name, zone, spot, room) in &mut coming {
+                if left > 0 && spec.allows(type_name, zone, *spot) {
+                    let n = shortage.need.count_in(*room).min(left);
+                    *room = *room - shortage.need.times(n);
+                    left -= n;
+                }
+            }
+            while left > 0 {
+                let Some((machine_type, zone, spot)) =
+                    self.cheapest(&catalog, replica, &shortage, left)
+                else {
+                    break;
+                };
+                let per = shortage.need.count_in(machine_type.room()).max(1);
+                let count = left.div_ceil(per).min(MOST_RENTED.into()) as u32;
+                self.counter += 1;
+                let request = RentRequest {
+                    // The term makes the name unique among all that ever led.
+                    request: format!("r-{}-{}", self.term, self.counter),
+                    type_name: machine_type.name.clone(),
+                    zone: zone.clone(),
+                    spot,
+                    count,
+                };
+                let covered = left.min(per * u64::from(count));
+                left -= covered;
+                let last = covered - per * (u64::from(count) - 1);
+                coming.push((
+                    machine_type.name.clone(),
+                    zone,
+                    spot,
+                    machine_type.room() - shortage.need.times(last),
+                ));
+                self.rentals.push(Rental {
+                    request,
+                    sent: false,
+                    retry_at: now,
+                    since: now,
+                });
+                if self.rentals.len() > 16 {
+                    return;
+                }
+            }
+        }
+    }
+
+    /// The type, zone and kind that does a shortage's work for the least, among those that the
+    /// cloud has not refused lately.
+    fn cheapest<'a>(
+        &self,
+        catalog: &'a Catalog,
+        replica: &Replica,
+        shortage: &Shortage,
+        left: u64,
+    ) -> Option<(&'a MachineType, Zone, bool)> {
+        let spec = &replica.jobs.get(&shortage.job)?.spec;
+        let mut best: Option<(f64, usize, &MachineType, Zone, bool)> = None;
+        for machine_type in &catalog.types {
+            let per = shortage.need.count_in(machine_type.room());
+            if per == 0 {
+                continue;
+            }
+            for zone in &machine_type.zones {
+                for spot in [true, false] {
+                    let kind = (machine_type.name.clone(), zone.clone(), spot);
+                    let pending = self.rentals.iter().any(|r| {
+                        (&r.request.type_name, &r.request.zone, r.request.spot)
+                            == (&kind.0, &kind.1, kind.2)
+                    });
+                    if !spec.allows(&kind.0, zone, spot)
+                        || self.no_capacity.contains_key(&kind)
+                        || pending
+                    {
+                        continue;
+                    }
+                    let price = if spot {
+                        machine_type.spot_price
+                    } else {
+                        machine_type.price
+                    };
+                    let cost = price * left.div_ceil(per) as f64 / left as f64;
+                    let here = replica
+                        .machines
+                        .values()
+                        .filter(|m| m.record.zone == *zone)
+                        .count();
+                    let better = best
+                        .as_ref()
+                        .is_none_or(|(c, n, ..)| (cost, here) < (*c, *n));
+                    if better {
+                        best = Some((cost, here, machine_type, zone.clone(), spot));
+                    }
+                }
+            }
+        }
+        best.map(|(_, _, t, zone, spot)| (t, zone, spot))
+    }
+
+    pub fn booting(&self) -> usize {
+        self.booting.len()
+    }
+}
--- /dev/null
+++ b/src/cloud/mod.rs
@@ -0,0 +1,6 @@
+//! The leader's duty towards the cloud: the catalog, renting for demand, returning what is idle,
+//! deleting what never came up or went silent.
+
+mod fleet;
+
+pub use fleet::{Effect, Fleet, RentOutcome};
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,366 @@
+//! The platform's settings file, checked before anything starts.
+
+use crate::ids::{Amounts, Member, Span, TeamId, Zone};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    #[error("cannot read {path}: {source}")]
+    Read {
+        path: String,
+        source: std::io::Error,
+    },
+    #[error("settings file: {0}")]
+    Parse(#[from] serde_json::Error),
+    #[error("settings field `{field}`: {problem}")]
+    Invalid {
+        field: String,
+        problem: &'static str,
+    },
+}
+
+#[derive(Debug, Clone)]
+pub struct Team {
+    pub guarantee: Amounts,
+    pub limit: Amounts,
+}
+
+/// What the operators are held to, as far as decisions use it.
+#[derive(Debug, Clone, Default)]
+pub struct Objective {
+    /// Pipelines whose starts are to be quick, with the time in seconds.
+    pub quick: BTreeMap<String, f64>,
+    pub guarantee_s: Option<f64>,
+}
+
+#[derive(Debug, Clone)]
+pub struct Config {
+    pub member: Member,
+    pub zone: Zone,
+    pub listen: SocketAddr,
+    pub peer_listen: SocketAddr,
+    pub peers: BTreeMap<Member, SocketAddr>,
+    pub cloud_addr: SocketAddr,
+    pub state_addr: SocketAddr,
+    pub controllers: u32,
+    pub teams: BTreeMap<TeamId, Team>,
+    pub objective: Objective,
+    pub report: Span,
+    pub lease: Span,
+    pub gang_peer: Span,
+    pub state_rps: f64,
+    pub state_write_rps: f64,
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+    pub cloud_rps: f64,
+    pub list_lag: Span,
+    pub sockets: usize,
+}
+
+#[derive(Deserialize)]
+struct File {
+    member: String,
+    area: String,
+    bind: String,
+    peer_bind: String,
+    others: Vec<FilePeer>,
+    services: FileServices,
+    params: FileParams,
+}
+
+#[derive(Deserialize)]
+struct FilePeer {
+    member: String,
+    addr: String,
+}
+
+#[derive(Deserialize)]
+struct FileServices {
+    cloud: String,
+    state: String,
+}
+
+#[derive(Deserialize)]
+struct FileParams {
+    teams: Vec<FileTeam>,
+    #[serde(default)]
+    objectives: Vec<FileObjective>,
+    workers: FileWorkers,
+    state: FileState,
+    cloud: FileCloud,
+    quota: FileQuota,
+}
+
+#[derive(Deserialize)]
+struct FileTeam {
+    name: String,
+    cpus: f64,
+    cpus_max: f64,
+    gpus: f64,
+    gpus_max: f64,
+}
+
+#[derive(Deserialize)]
+struct FileObjective {
+    kind: String,
+    class: Option<String>,
+    within_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct FileWorkers {
+    report_s: f64,
+    lease_s: f64,
+    gang_peer_s: f64,
+}
+
+#[derive(Deserialize)]
+struct FileState {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: usize,
+}
+
+#[derive(Deserialize)]
+struct FileCloud {
+    rps: f64,
+    list_lag_s: f64,
+}
+
+#[derive(Deserialize)]
+struct FileQuota {
+    sockets: usize,
+}
+
+fn invalid<T>(field: &str, problem: &'static str) -> Result<T, Error> {
+    Err(Error::Invalid {
+        field: field.to_owned(),
+        problem,
+    })
+}
+
+fn name(field: &str, text: &str) -> Result<(), Error> {
+    let good = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if text.is_empty() || text.len() > 100 || !text.chars().all(good) {
+        return invalid(
+            field,
+            "must be a name of 1 to 100 letters, digits, '-', '_' or '.'",
+        );
+    }
+    Ok(())
+}
+
+fn address(field: &str, text: &str) -> Result<SocketAddr, Error> {
+    text.parse().or_else(|_| {
+        invalid(
+            field,
+            "must be an IP address and a port, such as 10.0.0.1:8080",
+        )
+    })
+}
+
+fn positive(field: &str, value: f64) -> Result<f64, Error> {
+    if value.is_finite() && value > 0.0 && value < 1e9 {
+        Ok(value)
+    } else {
+        invalid(field, "must be above 0")
+    }
+}
+
+fn not_negative(field: &str, value: f64) -> Result<f64, Error> {
+    if value.is_finite() && (0.0..1e9).contains(&value) {
+        Ok(value)
+    } else {
+        invalid(field, "must not be negative")
+    }
+}
+
+impl Config {
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
+            path: path.display().to_string(),
+            source,
+        })?;
+        Self::parse(&text)
+    }
+
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let file: File = serde_json::from_str(text)?;
+        name("member", &file.member)?;
+        name("area", &file.area)?;
+        let mut peers = BTreeMap::new();
+        for (i, peer) in file.others.iter().enumerate() {
+            name(&format!("others[{i}].member"), &peer.member)?;
+            let addr = address(&format!("others[{i}].addr"), &peer.addr)?;
+            let twice = peers.insert(Member::from(peer.member.as_str()), addr);
+            if twice.is_some() || peer.member == file.member {
+                return invalid(&format!("others[{i}].member"), "names a controller twice");
+            }
+        }
+        let params = &file.params;
+        let mut teams = BTreeMap::new();
+        for (i, team) in params.teams.iter().enumerate() {
+            let field = |f: &str| format!("params.teams[{i}].{f}");
+            name(&field("name"), &team.name)?;
+            not_negative(&field("cpus"), team.cpus)?;
+            not_negative(&field("gpus"), team.gpus)?;
+            not_negative(&field("cpus_max"), team.cpus_max)?;
+            not_negative(&field("gpus_max"), team.gpus_max)?;
+            if team.cpus_max < team.cpus || team.gpus_max < team.gpus {
+                return invalid(&field("cpus_max"), "a limit is below the guarantee");
+            }
+            let team_amounts = Team {
+                guarantee: Amounts::room(team.cpus, team.gpus, 0.0),
+                limit: Amounts::room(team.cpus_max, team.gpus_max, 0.0),
+            };
+            if teams
+                .insert(TeamId::from(team.name.as_str()), team_amounts)
+                .is_some()
+            {
+                return invalid(&field("name"), "names a team twice");
+            }
+        }
+        if params.state.txn_ops < 4 {
+            return invalid("params.state.txn_ops", "must be at least 4");
+        }
+        if params.quota.sockets < 64 {
+            return invalid("params.quota.sockets", "must be at least 64");
+        }
+        if !(params.state.value_kb >= 1.0 && params.state.value_kb < 1e6) {
+            return invalid("params.state.value_kb", "must be at least 1");
+        }
+        let mut objective = Objective::default();
+        for entry in &params.objectives {
+            match (entry.kind.as_str(), &entry.class, entry.within_s) {
+                ("wait", Some(class), Some(within)) => {
+                    objective.quick.insert(class.clone(), within);
+                }
+                ("guarantee", _, Some(within)) => objective.guarantee_s = Some(within),
+                _ => {}
+            }
+        }
+        let workers = &params.workers;
+        Ok(Self {
+            member: file.member.as_str().into(),
+            zone: file.area.as_str().into(),
+            listen: address("bind", &file.bind)?,
+            peer_listen: address("peer_bind", &file.peer_bind)?,
+            controllers: peers.len() as u32 + 1,
+            peers,
+            cloud_addr: address("services.cloud", &file.services.cloud)?,
+            state_addr: address("services.state", &file.services.state)?,
+            teams,
+            objective,
+            report: Span::from_secs(positive("params.workers.report_s", workers.report_s)?),
+            lease: Span::from_secs(positive("params.workers.lease_s", workers.lease_s)?),
+            gang_peer: Span::from_secs(positive(
+                "params.workers.gang_peer_s",
+                workers.gang_peer_s,
+            )?),
+            state_rps: positive("params.state.rps", params.state.rps)?,
+            state_write_rps: positive("params.state.write_rps", params.state.write_rps)?,
+            value_bytes: (params.state.value_kb * 1024.0) as usize,
+            txn_ops: params.state.txn_ops,
+            cloud_rps: positive("params.cloud.rps", params.cloud.rps)?,
+            list_lag: Span::from_secs(not_negative(
+                "params.cloud.list_lag_s",
+                params.cloud.list_lag_s,
+            )?),
+            sockets: params.quota.sockets,
+        })
+    }
+
+    /// Two blocks for each controller: when one ends, its machines spread over the others.
+    pub fn blocks(&self) -> u32 {
+        self.controllers * 2
+    }
+
+    /// Tasks in one record of a completion counter: four fit into a byte of it, and the rest
+    /// of the value is left free.
+    pub fn segment_tasks(&self) -> u32 {
+        (self.value_bytes as u32).clamp(1024, 65_536)
+    }
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub fn sample() -> serde_json::Value {
+        serde_json::json!({
+            "member": "c0", "area": "a", "bind": "127.0.0.1:1", "peer_bind": "127.0.0.1:2",
+            "others": [{"member": "c1", "area": "a", "addr": "127.0.0.1:3"},
+                       {"member": "c2", "area": "b", "addr": "127.0.0.1:4"}],
+            "services": {"cloud": "127.0.0.1:5", "state": "127.0.0.1:6"},
+            "params": {
+                "size": 3, "zones": ["a", "b"],
+                "teams": [{"name": "red", "cpus": 8.0, "cpus_max": 24.0, "gpus": 0.0, "gpus_max": 0.0},
+                          {"name": "blue", "cpus": 16.0, "cpus_max": 32.0, "gpus": 0.0, "gpus_max": 0.0}],
+                "objectives": [{"kind": "wait", "class": "web", "within_s": 2.0, "share": 0.9}],
+                "workers": {"report_s": 2.0, "lease_s": 16.0, "gang_wait_s": 30.0, "gang_peer_s": 5.0, "cancel_s": 30.0},
+                "state": {"rps": 100.0, "write_rps": 40.0, "value_kb": 8.0, "txn_ops": 12},
+                "cloud": {"rps": 4.0, "list_lag_s": 3.0},
+                "quota": {"cpu": 0.2, "ram_mb": 72.0, "sockets": 1000},
+                "time_bound_ms": 100.0, "unheard_of": {"x": 1}
+            }
+        })
+    }
+
+    pub fn sample_config() -> Config {
+        Config::parse(&sample().to_string()).expect("the sample is valid")
+    }
+
+    #[test]
+    fn unknown_fields_are_ignored_and_limits_come_from_the_file() {
+        let config = sample_config();
+        assert_eq!(config.controllers, 3);
+        assert_eq!(config.txn_ops, 12);
+        assert_eq!(config.teams[&TeamId::from("red")].limit.cpus, 24_000);
+        assert_eq!(config.objective.quick["web"], 2.0);
+    }
+
+    #[test]
+    fn what_is_missing_mistyped_or_nonsensical_is_named() {
+        let cases: [(&str, serde_json::Value, &str); 8] = [
+            ("/bind", "nowhere".into(), "`bind`"),
+            ("/member", "".into(), "`member`"),
+            ("/others/0/member", "c0".into(), "`others[0].member`"),
+            (
+                "/params/workers/report_s",
+                (-1.0).into(),
+                "`params.workers.report_s`",
+            ),
+            (
+                "/params/teams/0/cpus_max",
+                1.0.into(),
+                "`params.teams[0].cpus_max`",
+            ),
+            (
+                "/params/teams/1/name",
+                "red".into(),
+                "`params.teams[1].name`",
+            ),
+            ("/params/state/txn_ops", 0.into(), "`params.state.txn_ops`"),
+            ("/params/state/rps", "many".into(), "expected f64"),
+        ];
+        for (pointer, value, expected) in cases {
+            let mut file = sample();
+            *file.pointer_mut(pointer).expect("field") = value;
+            let message = Config::parse(&file.to_string())
+                .expect_err(pointer)
+                .to_string();
+            assert!(message.contains(expected), "{pointer}: {message}");
+            assert!(!message.contains('\n'));
+        }
+        let mut file = sample();
+        file.as_object_mut().expect("object").remove("services");
+        let message = Config::parse(&file.to_string())
+            .expect_err("missing")
+            .to_string();
+        assert!(message.contains("services"), "{message}");
+    }
+}
--- /dev/null
+++ b/src/controller.rs
@@ -0,0 +1,496 @@
+//! All decisions of one controller: the slices put together, still without I/O, clock or
+//! randomness of its own. The daemon carries out the effects; tests do so in simulated time.
+
+use crate::cloud::{self, Fleet, RentOutcome};
+use crate::config::Config;
+use crate::ids::{GrantId, Incarnation, JobId, MachineId, Member, Revision, Span, Time, Token};
+use crate::leadership::Leadership;
+use crate::peers::{End, Message};
+use crate::placement::{self, Scheduler};
+use crate::planning::{History, plan_job};
+use crate::store::TxnOutcome;
+use crate::store::keys;
+use crate::store::records::PlanRecord;
+use crate::store::replica::Replica;
+use crate::store::tokens::Class;
+use crate::wire::state::{Event, Txn};
+use crate::wire::{Catalog, ListedMachine, Order, RentRequest, Report};
+use crate::workers::{self, CallOutcome, CheckinAnswer, Holder};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Whom a transaction's outcome concerns.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum TxnOwner {
+    Holder(MachineId),
+    Leadership,
+    Plan(JobId),
+    Catalog,
+    /// Repeated on its own when it is still needed.
+    Nobody,
+}
+
+#[derive(Debug)]
+pub enum Effect {
+    Txn {
+        owner: TxnOwner,
+        class: Class,
+        txn: Txn,
+    },
+    Call {
+        machine: MachineId,
+        addr: String,
+        token: Token,
+        session: crate::ids::Session,
+        orders: Vec<Order>,
+    },
+    Peer(Member, Message),
+    Rent(RentRequest),
+    Delete(Vec<MachineId>),
+    List,
+    Catalog,
+}
+
+const SCHEDULE_PAUSE: Span = Span(15);
+const SCHEDULE_EVERY: Span = Span(500);
+const FLEET_EVERY: Span = Span(400);
+const SYNC_EVERY: Span = Span(200);
+const HISTORY_EVERY: Span = Span(5000);
+const CLEAN_EVERY: Span = Span(2000);
+const PLANS_AT_ONCE: usize = 4;
+
+pub struct Controller {
+    config: Config,
+    pub replica: Replica,
+    pub leadership: Leadership,
+    pub holder: Holder,
+    pub scheduler: Scheduler,
+    pub fleet: Fleet,
+    history: History,
+    /// Plans that are made and not yet written.
+    plans: BTreeMap<JobId, PlanRecord>,
+    plans_in_flight: usize,
+    catalog_in_flight: bool,
+    dropping: BTreeMap<MachineId, Time>,
+    dirty: bool,
+    next_schedule: Time,
+    last_schedule: Time,
+    next_fleet: Time,
+    next_sync: Time,
+    next_history: Time,
+    next_clean: Time,
+}
+
+impl Controller {
+    pub fn new(config: &Config, incarnation: Incarnation) -> Self {
+        let zero = Time::default();
+        Self {
+            config: config.clone(),
+            replica: Replica::default(),
+            leadership: Leadership::new(config, incarnation),
+            holder: Holder::new(config, incarnation),
+            scheduler: Scheduler::new(config),
+            fleet: Fleet::new(config),
+            history: History::default(),
+            plans: BTreeMap::new(),
+            plans_in_flight: 0,
+            catalog_in_flight: false,
+            dropping: BTreeMap::new(),
+            dirty: false,
+            next_schedule: zero,
+            last_schedule: zero,
+            next_fleet: zero,
+            next_sync: zero,
+            next_history: zero,
+            next_clean: zero,
+        }
+    }
+
+    pub fn set_grant(&mut self, now: Time, grant: Option<GrantId>) -> Vec<Effect> {
+        self.leadership.set_grant(grant);
+        self.turn(now)
+    }
+
+    /// A mirror read anew takes the old one's place.
+    pub fn on_snapshot(&mut self, now: Time, replica: Replica) -> Vec<Effect> {
+        self.replica = replica;
+        self.dirty = true;
+        self.next_sync = now;
+        self.turn(now)
+    }
+
+    /// The next changes of the stream; also the jobs that ended by them.
+    pub fn on_events(
+        &mut self,
+        now: Time,
+        revision: Revision,
+        events: Vec<Event>,
+    ) -> (Vec<Effect>, Vec<JobId>) {
+        let ended = self.replica.apply(revision, events);
+        self.dirty = true;
+        self.next_sync = now;
+        (self.turn(now), ended)
+    }
+
+    pub fn on_checkin(&mut self, now: Time, report: &Report) -> (CheckinAnswer, Vec<Effect>) {
+        let mut out = Vec::new();
+        let answer = self.holder.on_checkin(now, report, &self.replica, &mut out);
+        (answer, self.finish(now, out))
+    }
+
+    pub fn on_call(
+        &mut self,
+        now: Time,
+        machine: &MachineId,
+        token: Token,
+        outcome: CallOutcome,
+    ) -> Vec<Effect> {
+        let mut out = Vec::new();
+        self.holder
+            .on_call(now, machine, token, outcome, &self.replica, &mut out);
+        self.finish(now, out)
+    }
+
+    pub fn on_txn(&mut self, now: Time, owner: &TxnOwner, outcome: &TxnOutcome) -> Vec<Effect> {
+        let mut out = Vec::new();
+        match owner {
+            TxnOwner::Holder(machine) => {
+                self.holder
+                    .on_txn(now, machine, outcome, &mut self.replica, &mut out);
+                self.dirty = true;
+            }
+            TxnOwner::Leadership => self.leadership.on_txn(now, outcome),
+            TxnOwner::Plan(job) => {
+                self.plans_in_flight = self.plans_in_flight.saturating_sub(1);
+                // Any other outcome says that it is written, or that the job is over.
+                let again = matches!(outcome, TxnOutcome::Refused);
+                if again && let Some(live) = self.replica.jobs.get(job) {
+                    self.plans
+                        .extend(live.plan.clone().map(|p| (job.clone(), p)));
+                }
+            }
+            TxnOwner::Catalog => self.catalog_in_flight = false,
+            TxnOwner::Nobody => {}
+        }
+        self.finish(now, out)
+    }
+
+    pub fn on_peer(&mut self, now: Time, message: Message) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.deliver(now, message, &mut effects);
+        effects.extend(self.turn(now));
+        effects
+    }
+
+    pub fn on_catalog(&mut self, now: Time, catalog: Option<Catalog>) -> Vec<Effect> {
+        self.fleet.on_catalog(now, catalog);
+        self.turn(now)
+    }
+
+    pub fn on_list(&mut self, now: Time, machines: Option<Vec<ListedMachine>>) -> Vec<Effect> {
+        self.fleet.on_list(now, machines, &self.replica);
+        self.turn(now)
+    }
+
+    pub fn on_rent(
+        &mut self,
+        now: Time,
+        request: &RentRequest,
+        outcome: RentOutcome,
+    ) -> Vec<Effect> {
+        self.fleet.on_rent(now, request, outcome);
+        self.turn(now)
+    }
+
+    pub fn on_deleted(&mut self, now: Time, ids: &[MachineId], ok: bool) -> Vec<Effect> {
+        let mut cloud = Vec::new();
+        self.fleet.on_deleted(now, ids, ok, &mut cloud);
+        let mut effects = self.cloud_effects(now, cloud);
+        effects.extend(self.turn(now));
+        effects
+    }
+
+    pub fn tick(&mut self, now: Time) -> Vec<Effect> {
+        self.turn(now)
+    }
+
+    /// When the next tick is due; events may ask for an earlier one.
+    pub fn wants_turn_at(&self, now: Time) -> Time {
+        let schedule = if self.dirty {
+            self.next_schedule
+        } else {
+            now + SCHEDULE_EVERY
+        };
+        schedule.min(self.next_sync)
+    }
+
+    fn finish(&mut self, now: Time, out: Vec<workers::Effect>) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.holder_effects(now, out, &mut effects);
+        effects.extend(self.turn(now));
+        effects
+    }
+
+    /// Carries messages between this controller's own duties, and turns the rest into effects.
+    fn holder_effects(&mut self, now: Time, out: Vec<workers::Effect>, effects: &mut Vec<Effect>) {
+        let mut queue = VecDeque::from(out);
+        while let Some(effect) = queue.pop_front() {
+            match effect {
+                workers::Effect::Txn { machine, txn } => effects.push(Effect::Txn {
+                    owner: TxnOwner::Holder(machine),
+                    class: Class::Place,
+                    txn,
+                }),
+                workers::Effect::Call {
+                    machine,
+                    addr,
+                    token,
+                    session,
+                    orders,
+                } => effects.push(Effect::Call {
+                    machine,
+                    addr,
+                    token,
+                    session,
+                    orders,
+                }),
+                workers::Effect::ToLeader(message) => {
+                    let Some(leader) = &self.replica.leader else {
+                        continue;
+                    };
+                    if leader.value.member == self.config.member {
+                        self.deliver(now, message, effects);
+                    } else {
+                        effects.push(Effect::Peer(leader.value.member.clone(), message));
+                    }
+                }
+                workers::Effect::RenewBlock(block) => self.renew(block, effects),
+            }
+        }
+    }
+
+    fn renew(&self, block: crate::ids::BlockId, effects: &mut Vec<Effect>) {
+        if let Some(txn) = self.leadership.renew_block(block, &self.replica) {
+            effects.push(Effect::Txn {
+                owner: TxnOwner::Nobody,
+                class: Class::Place,
+                txn,
+            });
+        }
+    }
+
+    fn deliver(&mut self, now: Time, message: Message, effects: &mut Vec<Effect>) {
+        let mut out = Vec::new();
+        match message {
+            Message::Allot(allotment) => {
+                self.holder
+                    .on_allot(now, allotment, &self.replica, &mut out);
+            }
+            Message::Stop {
+                machine,
+                run,
+                grace,
+            } => self
+                .holder
+                .on_stop(now, &machine, run, grace, &self.replica, &mut out),
+            Message::Refused { fence, runs } => {
+                self.scheduler.on_refused(fence, &runs);
+                self.dirty = true;
+            }
+            Message::Ended(ended) => {
+                if ended.end == End::Done
+                    && let (Some(pipeline), Some(ran)) = (&ended.pipeline, ended.ran)
+                {
+                    self.history.add(pipeline, &ended.type_name, ran);
+                }
+                self.scheduler.on_ended(now, &ended);
+                self.dirty = true;
+            }
+            Message::Health(health) => {
+                let urgent = health.len() == 1;
+                self.scheduler.on_health(now, health);
+                self.dirty |= urgent;
+            }
+            Message::Hello { .. } | Message::StoreUp(_) => {}
+        }
+        self.holder_effects(now, out, effects);
+    }
+
+    /// Does whatever is due. Called after every input.
+    fn turn(&mut self, now: Time) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if now >= self.next_sync {
+            self.next_sync = now + SYNC_EVERY;
+            let mut out = Vec::new();
+            self.holder.sync(now, &self.replica, &mut out);
+            self.holder_effects(now, out, &mut effects);
+        }
+        if let Some(txn) = self.leadership.drive(now, &self.replica) {
+            effects.push(Effect::Txn {
+                owner: TxnOwner::Leadership,
+                class: Class::Place,
+                txn,
+            });
+        }
+        match self.leadership.settled_term(&self.replica) {
+            Some(term) => self.lead(now, term, &mut effects),
+            None => {
+                self.plans.clear();
+                self.history.clear();
+            }
+        }
+        effects
+    }
+
+    fn lead(&mut self, now: Time, term: Revision, effects: &mut Vec<Effect>) {
+        let due = (self.dirty && now >= self.next_schedule)
+            || now.since(self.last_schedule) >= SCHEDULE_EVERY;
+        if due {
+            self.dirty = false;
+            self.last_schedule = now;
+            self.next_schedule = now + SCHEDULE_PAUSE;
+            self.plan();
+            let mut out = Vec::new();
+            self.scheduler.drive(now, term, &self.replica, &mut out);
+            for effect in out {
+                match effect {
+                    placement::Effect::ToHolder(member, message) => {
+                        if member == self.config.member {
+                            self.deliver(now, message, effects);
+                        } else {
+                            effects.push(Effect::Peer(member, message));
+                        }
+                    }
+                    placement::Effect::RenewBlock(block) => self.renew(block, effects),
+                }
+            }
+        }
+        self.write_plans(effects);
+        if now >= self.next_fleet {
+            self.next_fleet = now + FLEET_EVERY;
+            let mut out = Vec::new();
+            self.fleet
+                .drive(now, term, &self.replica, &mut self.scheduler, &mut out);
+            effects.extend(self.cloud_effects(now, out));
+            self.store_catalog(effects);
+        }
+        if now >= self.next_history {
+            self.next_history = now + HISTORY_EVERY;
+            if let Some((pipeline, record)) = self.history.next(&self.replica) {
+                let mut txn = Txn::default();
+                txn.require(keys::LEADER, term);
+                txn.put(keys::history(&pipeline), &record, None);
+                effects.push(Effect::Txn {
+                    owner: TxnOwner::Nobody,
+                    class: Class::Record,
+                    txn,
+                });
+            }
+        }
+        if now >= self.next_clean {
+            self.next_clean = now + CLEAN_EVERY;
+            let mut txn = Txn::default();
+            for key in self.replica.orphans() {
+                txn.delete(key);
+            }
+            if !txn.changes.is_empty() {
+                effects.push(Effect::Txn {
+                    owner: TxnOwner::Nobody,
+                    class: Class::Record,
+                    txn,
+                });
+            }
+        }
+    }
+
+    /// Plans what was accepted. The plan serves at once; its record follows.
+    fn plan(&mut self) {
+        let new: Vec<JobId> = self
+            .replica
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.plan.is_none())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in new {
+            let Some(plan) = self
+                .replica
+                .jobs
+                .get(&id)
+                .map(|job| plan_job(job, &self.replica))
+            else {
+                continue;
+            };
+            if let Some(job) = self.replica.jobs.get_mut(&id) {
+                job.plan = Some(plan.clone());
+            }
+            self.plans.insert(id, plan);
+        }
+    }
+
+    fn write_plans(&mut self, effects: &mut Vec<Effect>) {
+        while self.plans_in_flight < PLANS_AT_ONCE
+            && let Some((id, plan)) = self.plans.pop_first()
+        {
+            let Some(job) = self.replica.jobs.get(&id) else {
+                continue;
+            };
+            let mut txn = Txn::default();
+            txn.require(keys::job(&id), job.revision);
+            txn.require(keys::plan(&id), Revision(0));
+            txn.put(keys::plan(&id), &plan, None);
+            self.plans_in_flight += 1;
+            effects.push(Effect::Txn {
+                owner: TxnOwner::Plan(id),
+                class: Class::Record,
+                txn,
+            });
+        }
+    }
+
+    fn store_catalog(&mut self, effects: &mut Vec<Effect>) {
+        if self.catalog_in_flight {
+            return;
+        }
+        if let Some(catalog) = self.fleet.catalog_to_store(&self.replica) {
+            self.catalog_in_flight = true;
+            let mut txn = Txn::default();
+            txn.put(keys::CATALOG, catalog, None);
+            effects.push(Effect::Txn {
+                owner: TxnOwner::Catalog,
+                class: Class::Place,
+                txn,
+            });
+        }
+    }
+
+    fn cloud_effects(&mut self, now: Time, out: Vec<cloud::Effect>) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for effect in out {
+            match effect {
+                cloud::Effect::Rent(request) => effects.push(Effect::Rent(request)),
+                cloud::Effect::Delete(ids) => effects.push(Effect::Delete(ids)),
+                cloud::Effect::List => effects.push(Effect::List),
+                cloud::Effect::Catalog => effects.push(Effect::Catalog),
+                cloud::Effect::DropRecord(id) => {
+                    self.dropping.retain(|_, at| now.since(*at) < Span(1000));
+                    if let Some(machine) = self.replica.machines.get(&id)
+                        && !self.dropping.contains_key(&id)
+                    {
+                        // The holder may have placed something meanwhile: then this fails, and
+                        // is built anew on what stands.
+                        self.dropping.insert(id.clone(), now);
+                        let mut txn = Txn::default();
+                        txn.require(keys::machine(&id), machine.revision);
+                        txn.delete(keys::machine(&id));
+                        effects.push(Effect::Txn {
+                            owner: TxnOwner::Nobody,
+                            class: Class::Place,
+                            txn,
+                        });
+                    }
+                }
+            }
+        }
+        effects
+    }
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,349 @@
+//! The process: sockets, routines and clocks around the decisions.
+
+mod cloud_calls;
+mod routes;
+
+use crate::config::Config;
+use crate::controller::{Controller, Effect, TxnOwner};
+use crate::http::{self, Client, Failure, Method};
+use crate::ids::{Incarnation, MachineId, Session, Time, Token};
+use crate::intake::Intake;
+use crate::leadership::keep_grant;
+use crate::peers::{Links, Message, listen};
+use crate::runtime::{self, Scope, TcpListener};
+use crate::store::replica::Replica;
+use crate::store::{Store, StoreError, keys};
+use crate::wire::state::Txn;
+use crate::wire::{self, Order, Report, path};
+use crate::workers::CallOutcome;
+use cloud_calls::CloudCalls;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const CALL: Duration = Duration::from_millis(1500);
+const FOLLOW: Duration = Duration::from_secs(20);
+const TELL: Duration = Duration::from_millis(700);
+/// Largest report that is read: a worker's lines are bounded, its list of tasks is not.
+const REPORT_LIMIT: usize = 1024 * 1024;
+
+pub struct Node {
+    config: Config,
+    incarnation: Incarnation,
+    started: Instant,
+    controller: Rc<RefCell<Controller>>,
+    store: Rc<Store>,
+    workers: Client,
+    cloud: CloudCalls,
+    links: Links,
+    intake: Intake,
+    loaded: Cell<bool>,
+    /// When a peer last said that the state service serves it.
+    peers_served: RefCell<BTreeMap<crate::ids::Member, Instant>>,
+    stats: routes::Stats,
+}
+
+/// Runs a controller until the process is ended.
+pub fn run(config: Config) -> std::io::Result<()> {
+    runtime::run(async move {
+        if let Err(error) = start(config).await {
+            tracing::error!(%error, "cannot start");
+            std::process::exit(1);
+        }
+    })
+}
+
+async fn start(config: Config) -> std::io::Result<()> {
+    let public = TcpListener::bind(config.listen)?;
+    let peer = TcpListener::bind(config.peer_listen)?;
+    let started = Instant::now();
+    let incarnation = Incarnation(rand::random::<u64>() >> 1);
+    let mut scope = Scope::default();
+    // Every controller may use somewhat more than its even share: seldom do all need theirs.
+    let share = 1.5 / f64::from(config.controllers.max(2));
+    let store = Rc::new(Store::new(
+        config.state_addr,
+        config.state_rps * share,
+        config.state_write_rps * share,
+        started,
+    ));
+    let controller = Rc::new(RefCell::new(Controller::new(&config, incarnation)));
+    let links = Links::start(&config.member, incarnation, &config.peers, &mut scope);
+    let node = Rc::new(Node {
+        intake: Intake::new(&config, store.clone(), controller.clone()),
+        cloud: CloudCalls::new(config.cloud_addr, config.cloud_rps, started),
+        workers: Client::new(REPORT_LIMIT),
+        loaded: Cell::new(false),
+        peers_served: RefCell::default(),
+        stats: routes::Stats::default(),
+        config,
+        incarnation,
+        started,
+        controller,
+        store,
+        links,
+    });
+    tracing::info!(member = %node.config.member, %incarnation, "controller started");
+    scope.spawn(grants(node.clone()));
+    scope.spawn(mirror(node.clone()));
+    scope.spawn(ticker(node.clone()));
+    scope.spawn(teller(node.clone()));
+    let heard = node.clone();
+    scope.spawn(listen(
+        peer,
+        Rc::new(move |from, message| heard.on_peer(&from, message)),
+    ));
+    let limit = node.config.sockets * 6 / 10;
+    let routed = node.clone();
+    http::serve(public, limit, move |request| {
+        routes::route(routed.clone(), request)
+    })
+    .await;
+    Ok(())
+}
+
+async fn grants(node: Rc<Node>) {
+    let life = {
+        let node = node.clone();
+        move || {
+            node.controller
+                .borrow()
+                .replica
+                .settings()
+                .lease()
+                .duration()
+        }
+    };
+    let told = node.clone();
+    keep_grant(
+        node.store.clone(),
+        node.config.member.clone(),
+        node.incarnation,
+        life,
+        move |grant| {
+            tracing::info!(held = grant.is_some(), "grant");
+            let effects = told.controller.borrow_mut().set_grant(told.now(), grant);
+            told.carry_out(effects);
+        },
+    )
+    .await;
+}
+
+/// Keeps the mirror: a snapshot, then the stream of changes; anew when the stream is lost.
+async fn mirror(node: Rc<Node>) {
+    loop {
+        match snapshot(&node.store).await {
+            Ok(replica) => {
+                let mut revision = replica.revision;
+                tracing::info!(%revision, jobs = replica.jobs.len(), machines = replica.machines.len(), "mirror read");
+                node.loaded.set(true);
+                let effects = node
+                    .controller
+                    .borrow_mut()
+                    .on_snapshot(node.now(), replica);
+                node.carry_out(effects);
+                loop {
+                    match node.store.follow(keys::LIVE, revision, FOLLOW).await {
+                        Ok(events) => {
+                            revision = revision.max(events.revision);
+                            let (effects, _) = node.controller.borrow_mut().on_events(
+                                node.now(),
+                                events.revision,
+                                events.events,
+                            );
+                            node.carry_out(effects);
+                        }
+                        Err(StoreError::Gone) => break,
+                        Err(StoreError::Unavailable) => {
+                            runtime::sleep(Duration::from_millis(200)).await;
+                        }
+                    }
+                }
+            }
+            Err(error) => {
+                tracing::debug!(%error, "mirror not read");
+                runtime::sleep(Duration::from_millis(300)).await;
+            }
+        }
+    }
+}
+
+/// Reads everything. Pages may be of different revisions: following from the first one's brings
+/// whatever changed in between.
+async fn snapshot(store: &Store) -> Result<Replica, StoreError> {
+    let mut replica = Replica::default();
+    let mut first = None;
+    let mut after: Option<String> = None;
+    loop {
+        let page = store.page(keys::LIVE, after.as_deref()).await?;
+        first.get_or_insert(page.revision);
+        after = page.items.last().map(|i| i.key.clone());
+        let more = page.more && after.is_some();
+        for item in page.items {
+            replica.load(item);
+        }
+        if !more {
+            break;
+        }
+    }
+    replica.revision = first.unwrap_or_default();
+    Ok(replica)
+}
+
+async fn ticker(node: Rc<Node>) {
+    loop {
+        let now = node.now();
+        let at = node.controller.borrow().wants_turn_at(now);
+        let wait = at.since(now).0.clamp(5, 100);
+        runtime::sleep(Duration::from_millis(wait)).await;
+        let effects = node.controller.borrow_mut().tick(node.now());
+        node.carry_out(effects);
+    }
+}
+
+/// Tells the peers whether the state service serves us: one that it refuses alone can then tell
+/// that from an outage, and step out of the load balancer's sight.
+async fn teller(node: Rc<Node>) {
+    loop {
+        runtime::sleep(TELL).await;
+        let up = node.store.is_up();
+        for peer in node.config.peers.keys() {
+            node.links.send(peer, Message::StoreUp(up));
+        }
+    }
+}
+
+impl Node {
+    fn now(&self) -> Time {
+        Time(self.started.elapsed().as_millis() as u64)
+    }
+
+    fn on_peer(self: &Rc<Self>, from: &crate::ids::Member, message: Message) {
+        if let Message::StoreUp(up) = message {
+            let mut served = self.peers_served.borrow_mut();
+            if up {
+                served.insert(from.clone(), Instant::now());
+            } else {
+                served.remove(from);
+            }
+            return;
+        }
+        let effects = self.controller.borrow_mut().on_peer(self.now(), message);
+        self.carry_out(effects);
+    }
+
+    /// Starts a routine for each effect; each hands its outcome back.
+    fn carry_out(self: &Rc<Self>, effects: Vec<Effect>) {
+        for effect in effects {
+            let node = self.clone();
+            match effect {
+                Effect::Peer(member, message) => self.links.send(&member, message),
+                Effect::Txn { owner, class, txn } => runtime::spawn(async move {
+                    node.run_txn(owner, class, txn).await;
+                }),
+                Effect::Call {
+                    machine,
+                    addr,
+                    token,
+                    session,
+                    orders,
+                } => runtime::spawn(async move {
+                    node.run_call(machine, &addr, token, session, orders).await;
+                }),
+                Effect::Rent(request) => runtime::spawn(async move {
+                    let outcome = node.cloud.rent(&request).await;
+                    tracing::info!(?request, ?outcome, "rental");
+                    let effects =
+                        node.controller
+                            .borrow_mut()
+                            .on_rent(node.now(), &request, outcome);
+                    node.carry_out(effects);
+                }),
+                Effect::Delete(ids) => runtime::spawn(async move {
+                    let ok = node.cloud.delete(&ids).await;
+                    tracing::info!(?ids, ok, "deletion");
+                    let effects = node
+                        .controller
+                        .borrow_mut()
+                        .on_deleted(node.now(), &ids, ok);
+                    node.carry_out(effects);
+                }),
+                Effect::List => runtime::spawn(async move {
+                    let list = node.cloud.list().await;
+                    let effects = node.controller.borrow_mut().on_list(node.now(), list);
+                    node.carry_out(effects);
+                }),
+                Effect::Catalog => runtime::spawn(async move {
+                    let catalog = node.cloud.catalog().await;
+                    let effects = node.controller.borrow_mut().on_catalog(node.now(), catalog);
+                    node.carry_out(effects);
+                }),
+            }
+        }
+    }
+
+    async fn run_txn(
+        self: Rc<Self>,
+        owner: TxnOwner,
+        class: crate::store::tokens::Class,
+        txn: Txn,
+    ) {
+        let outcome = self.store.txn(class, &txn).await;
+        tracing::debug!(?owner, ?outcome, "transaction");
+        let effects = self
+            .controller
+            .borrow_mut()
+            .on_txn(self.now(), &owner, &outcome);
+        self.carry_out(effects);
+    }
+
+    async fn run_call(
+        self: Rc<Self>,
+        machine: MachineId,
+        addr: &str,
+        token: Token,
+        session: Session,
+        orders: Vec<Order>,
+    ) {
+        let outcome = match addr.parse::<SocketAddr>() {
+            Err(_) => CallOutcome::NotSent,
+            Ok(addr) => {
+                let body = wire::orders(token, Some(session), &orders);
+                let answer = self
+                    .workers
+                    .call(addr, Method::Post, path::COMMANDS, &body, CALL)
+                    .await;
+                match answer {
+                    Ok(response) => {
+                        let report = Report::parse(&response.body).ok();
+                        match (response.status, report) {
+                            (200, Some(report)) => CallOutcome::Done(report),
+                            (200, None) => CallOutcome::Unknown,
+                            (409 | 400, report) => CallOutcome::Rejected(report),
+                            _ => CallOutcome::Unknown,
+                        }
+                    }
+                    Err(Failure::NotSent) => CallOutcome::NotSent,
+                    Err(Failure::Unknown) => CallOutcome::Unknown,
+                }
+            }
+        };
+        let effects = self
+            .controller
+            .borrow_mut()
+            .on_call(self.now(), &machine, token, outcome);
+        self.carry_out(effects);
+    }
+
+    /// Whether users are served well here. In an outage of the state service no node is better
+    /// than another, so all stay; one that is refused alone steps out.
+    fn is_ready(&self) -> bool {
+        if !self.loaded.get() || self.controller.borrow().replica.catalog.is_none() {
+            return false;
+        }
+        let recent = |at: &Instant| at.elapsed() < 3 * TELL;
+        self.store.is_up() || !self.peers_served.borrow().values().any(recent)
+    }
+}
--- /dev/null
+++ b/src/daemon/routes.rs
@@ -0,0 +1,203 @@
+//! The public side: which request goes to which duty.
+
+use super::Node;
+use crate::admin::Settings;
+use crate::http::{Method, Request, Response};
+use crate::store::tokens::Class;
+use crate::store::{TxnOutcome, keys};
+use crate::wire::state::Txn;
+use crate::wire::{self, Report, path};
+use crate::workers::CheckinAnswer;
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// Answers by duty and status, and how long each took.
+#[derive(Default)]
+pub struct Stats {
+    counts: RefCell<BTreeMap<(&'static str, u16), u64>>,
+    times: RefCell<BTreeMap<&'static str, Histogram<u32>>>,
+}
+
+impl Stats {
+    fn note(&self, duty: &'static str, status: u16, since: Instant) {
+        *self.counts.borrow_mut().entry((duty, status)).or_default() += 1;
+        let mut times = self.times.borrow_mut();
+        if !times.contains_key(duty)
+            && let Ok(histogram) = Histogram::new_with_bounds(1, 60_000_000, 2)
+        {
+            times.insert(duty, histogram);
+        }
+        if let Some(histogram) = times.get_mut(duty) {
+            histogram.saturating_record(since.elapsed().as_micros() as u64);
+        }
+    }
+
+    fn json(&self) -> Value {
+        let mut duties = serde_json::Map::new();
+        for (duty, histogram) in self.times.borrow().iter() {
+            let counts: serde_json::Map<String, Value> = self
+                .counts
+                .borrow()
+                .iter()
+                .filter(|((d, _), _)| d == duty)
+                .map(|((_, status), n)| (status.to_string(), (*n).into()))
+                .collect();
+            let ms = |q: f64| histogram.value_at_quantile(q) as f64 / 1000.0;
+            let entry = json!({
+                "answers": counts,
+                "ms": {"p50": ms(0.5), "p90": ms(0.9), "p99": ms(0.99), "max": ms(1.0)},
+            });
+            duties.insert((*duty).to_owned(), entry);
+        }
+        Value::Object(duties)
+    }
+}
+
+const ADMIN_SETTINGS: &str = "/admin/settings";
+const ADMIN_STATUS: &str = "/admin/status";
+
+pub async fn route(node: Rc<Node>, request: Request) -> Response {
+    let since = Instant::now();
+    let (duty, response) = dispatch(&node, &request).await;
+    node.stats.note(duty, response.status, since);
+    if response.status >= 400 && response.status != 421 {
+        tracing::debug!(path = request.path, status = response.status, body = %String::from_utf8_lossy(&response.body), "refused");
+    }
+    response
+}
+
+async fn dispatch(node: &Rc<Node>, request: &Request) -> (&'static str, Response) {
+    let path = request.path.split('?').next().unwrap_or("");
+    let job = path
+        .strip_prefix(path::JOBS)
+        .and_then(|rest| rest.strip_prefix('/'));
+    match (request.method, path) {
+        (Method::Post, path::REPORT) => ("report", report(node, &request.body)),
+        (_, path::REPORT) => ("other", Response::wrong_method("POST")),
+        (Method::Get, path::READY) => ("ready", ready(node)),
+        (_, path::READY) => ("other", Response::wrong_method("GET")),
+        (Method::Post, path::JOBS) => ("submit", node.intake.submit(&request.body).await),
+        (_, path::JOBS) => ("other", Response::wrong_method("POST")),
+        (Method::Get, ADMIN_STATUS) => ("admin", status(node)),
+        (_, ADMIN_STATUS) => ("other", Response::wrong_method("GET")),
+        (Method::Get, ADMIN_SETTINGS) => {
+            let settings = node.controller.borrow().replica.settings();
+            ("admin", Response::json(200, &settings))
+        }
+        (Method::Put, ADMIN_SETTINGS) => ("admin", change(node, &request.body).await),
+        (_, ADMIN_SETTINGS) => ("other", Response::wrong_method("GET, PUT")),
+        (method, _) => match job.map(|j| j.split_once('/').unwrap_or((j, ""))) {
+            Some((id, "")) if !id.is_empty() && !path.ends_with('/') => match method {
+                Method::Get => ("poll", node.intake.poll(id).await),
+                _ => ("other", Response::wrong_method("GET")),
+            },
+            Some((id, path::CANCEL)) => match method {
+                Method::Post => ("cancel", node.intake.cancel(id).await),
+                _ => ("other", Response::wrong_method("POST")),
+            },
+            _ => ("other", Response::error(404, "no such path")),
+        },
+    }
+}
+
+fn report(node: &Rc<Node>, body: &[u8]) -> Response {
+    let report = match Report::parse(body) {
+        Ok(report) => report,
+        Err(message) => return Response::error(400, &message),
+    };
+    if !node.loaded.get() {
+        return Response::later("not ready yet", 1);
+    }
+    let (answer, effects) = node.controller.borrow_mut().on_checkin(node.now(), &report);
+    node.carry_out(effects);
+    match answer {
+        CheckinAnswer::Orders(token, orders) => {
+            Response::new(200, wire::orders(token, None, &orders))
+        }
+        CheckinAnswer::Elsewhere(holder) => Response::new(421, wire::redirect(holder.as_ref())),
+    }
+}
+
+fn ready(node: &Node) -> Response {
+    if node.is_ready() {
+        Response::json(200, &json!({"ready": true}))
+    } else {
+        Response::later("not ready", 1)
+    }
+}
+
+/// Changes settings: checked here, stored in the state service, taken up by every controller.
+async fn change(node: &Node, body: &[u8]) -> Response {
+    let change: Value = match serde_json::from_slice(body) {
+        Ok(change) => change,
+        Err(error) => return Response::error(400, &error.to_string()),
+    };
+    let (settings, revision) = {
+        let controller = node.controller.borrow();
+        let stored = controller.replica.settings.as_ref();
+        let revision = stored.map_or(crate::ids::Revision(0), |s| s.revision);
+        (controller.replica.settings(), revision)
+    };
+    let new: Settings = match settings.change(&change) {
+        Ok(new) => new,
+        Err(message) => return Response::error(400, &message),
+    };
+    let mut txn = Txn::default();
+    txn.require(keys::SETTINGS, revision);
+    txn.put(keys::SETTINGS, &new, None);
+    match node.store.txn(Class::Accept, &txn).await {
+        TxnOutcome::Committed(_) => Response::json(200, &new),
+        TxnOutcome::Failed(..) => Response::later("changed by somebody else just now", 1),
+        _ => Response::later("the state service did not take it", 1),
+    }
+}
+
+fn status(node: &Node) -> Response {
+    let controller = node.controller.borrow();
+    let replica = &controller.replica;
+    let blocks: BTreeMap<String, Value> = replica
+        .blocks
+        .iter()
+        .map(|(id, b)| {
+            let entry = json!({"holder": b.value.holder, "token": b.revision});
+            (id.to_string(), entry)
+        })
+        .collect();
+    let machines: Vec<Value> = replica
+        .machines
+        .iter()
+        .map(|(id, m)| {
+            json!({"id": id, "type": m.record.type_name, "zone": m.record.zone,
+                   "spot": m.record.spot, "tasks": m.record.runs().count(), "used": m.record.used()})
+        })
+        .collect();
+    let (requests, writes) = node.store.levels();
+    let counters = &node.store.counters;
+    let body = json!({
+        "member": node.config.member,
+        "zone": node.config.zone,
+        "ready": node.is_ready(),
+        "leader": replica.leader.as_ref().map(|l| &l.value.member),
+        "members": replica.members.keys().collect::<Vec<_>>(),
+        "revision": replica.revision,
+        "blocks": blocks,
+        "machines": machines,
+        "booting": controller.fleet.booting(),
+        "teams": replica.team_usage(),
+        "jobs": replica.jobs.len(),
+        "waiting_tasks": controller.scheduler.shortages.iter().map(|s| s.tasks).sum::<u64>(),
+        "allotted": controller.scheduler.allotted_count(),
+        "held_machines": controller.holder.desk_count(),
+        "state_service": {
+            "up": node.store.is_up(), "request_tokens": requests, "write_tokens": writes,
+            "calls": counters.calls.get(), "refused": counters.refused.get(),
+            "unanswered": counters.unknown.get(), "held_back": counters.held_back.get(),
+        },
+        "answers": node.stats.json(),
+    });
+    Response::json(200, &body)
+}
--- /dev/null
+++ b/src/http/tests.rs
@@ -0,0 +1,63 @@
+//! The decoders take any bytes: they answer, ask for more or refuse, and never panic.
+
+use super::server::{Progress, parse};
+use super::{Response, client};
+use proptest::prelude::*;
+
+#[test]
+fn requests_are_cut_out_of_the_stream() {
+    let text = b"POST /work HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}GET / HTTP/1.1\r\n";
+    let Progress::Ready {
+        request,
+        used,
+        close,
+    } = parse(text)
+    else {
+        panic!("not ready");
+    };
+    assert_eq!(
+        (request.path.as_str(), request.body.as_slice()),
+        ("/work", &b"{}"[..])
+    );
+    assert!(!close && text[used..].starts_with(b"GET"));
+    let half = b"POST /work HTTP/1.1\r\nContent-Length: 5\r\n\r\n{}";
+    assert!(matches!(parse(half), Progress::More { .. }));
+}
+
+#[test]
+fn chunked_requests_and_connection_close_are_understood() {
+    let text = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n";
+    let Progress::Ready { request, close, .. } = parse(text) else {
+        panic!("not ready");
+    };
+    assert_eq!(request.body, b"abc");
+    assert!(close);
+}
+
+#[test]
+fn oversized_bodies_and_heads_are_refused_before_they_arrive() {
+    let body = b"POST /work HTTP/1.1\r\nContent-Length: 65537\r\n\r\n";
+    assert!(matches!(parse(body), Progress::Refused(r) if r.status == 400));
+    let mut head = b"GET / HTTP/1.1\r\nX: ".to_vec();
+    head.resize(20_000, b'a');
+    assert!(matches!(parse(&head), Progress::Refused(r) if r.status == 431));
+}
+
+#[test]
+fn a_refusal_says_when_to_come_back() {
+    let text = String::from_utf8(super::server::encode(&Response::later("busy", 3), false));
+    assert!(text.expect("text").contains("\r\nRetry-After: 3\r\n"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: proptest::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn any_bytes_are_survived(bytes in proptest::collection::vec(any::<u8>(), 0..400), cut in 0usize..80) {
+        parse(&bytes);
+        client::parse(&bytes, 100, false).ok();
+        let mut text = b"POST /work HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+        text.truncate(text.len() - cut.min(text.len()));
+        text.extend_from_slice(&bytes);
+        parse(&text);
+    }
+}
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,299 @@
+//! Ids, versions, amounts and times: small types of their own, so that none is taken for another.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::rc::Rc;
+use std::time::Duration;
+
+macro_rules! name_type {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {$(
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Rc<str>);
+
+        impl $name {
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(Rc::from(text))
+            }
+        }
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    )*};
+}
+
+name_type! {
+    JobId,
+    TeamId,
+    /// A class of jobs that repeats: its history predicts the next one.
+    Pipeline,
+    MachineId,
+    TypeName,
+    Zone,
+    Image,
+    /// A controller.
+    Member,
+}
+
+macro_rules! number_type {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+    )*};
+}
+
+number_type! {
+    /// A revision of the state service, or of a key's last change there; 0: there is no such key.
+    Revision,
+    /// Who may command a machine: the revision of its block's record.
+    Token,
+    /// Tells one start of a task from another. Never used twice.
+    Attempt,
+    /// A worker's life between two expiries of its lease.
+    Session,
+    /// Orders the messages of one session.
+    Seq,
+    GrantId,
+    /// A process's life; a restarted controller has another.
+    Incarnation,
+}
+
+/// A block of machines that is leased as one. A machine's block follows from its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct BlockId(pub u32);
+
+impl fmt::Display for BlockId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl MachineId {
+    /// Machines never move between blocks, so a block's token rises only when its holder
+    /// changes. The cloud numbers machines in their order: the remainder deals them out evenly.
+    pub fn block(&self, blocks: u32) -> BlockId {
+        let digits: String = self.0.chars().filter(char::is_ascii_digit).collect();
+        let number: u64 = digits.parse().unwrap_or_else(|_| {
+            self.0
+                .bytes()
+                .fold(7, |h: u64, b| h.wrapping_mul(31).wrapping_add(b.into()))
+        });
+        BlockId((number % u64::from(blocks.max(1))) as u32)
+    }
+}
+
+/// One task of a job.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TaskId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+impl TaskId {
+    pub fn parse(text: &str) -> Option<Self> {
+        let (job, index) = text.rsplit_once('/')?;
+        Some(Self {
+            job: job.into(),
+            index: index.parse().ok()?,
+        })
+    }
+}
+
+/// One start of one task.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Run {
+    pub task: TaskId,
+    pub attempt: Attempt,
+}
+
+impl fmt::Display for Run {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.task, self.attempt)
+    }
+}
+
+/// A moment of this process's steady clock, in milliseconds since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Time(pub u64);
+
+/// A length of time in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Span(pub u64);
+
+impl Span {
+    pub fn from_secs(seconds: f64) -> Self {
+        Self((seconds.max(0.0) * 1000.0) as u64)
+    }
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1000.0
+    }
+    pub fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl Time {
+    /// The time since an earlier moment; none if that is later.
+    pub fn since(self, earlier: Self) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Self;
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl Add<Span> for Time {
+    type Output = Self;
+    fn add(self, span: Span) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Span> for Time {
+    type Output = Self;
+    fn sub(self, span: Span) -> Self {
+        Self(self.0.saturating_sub(span.0))
+    }
+}
+
+/// The time of day in milliseconds; only as good as the settings' bound.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Wall(pub u64);
+
+/// What a task takes and a machine has, in thousandths: sums are exact.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Amounts {
+    pub cpus: u64,
+    pub gpus: u64,
+    pub memory: u64,
+}
+
+impl Amounts {
+    /// Needs are rounded up, so that a sum never understates them.
+    pub fn need(cpus: f64, gpus: f64, memory_gb: f64) -> Self {
+        let up = |v: f64| (v.max(0.0) * 1000.0 - 1e-6).ceil().max(0.0) as u64;
+        Self {
+            cpus: up(cpus),
+            gpus: up(gpus),
+            memory: up(memory_gb),
+        }
+    }
+
+    /// Room is rounded down.
+    pub fn room(cpus: f64, gpus: f64, memory_gb: f64) -> Self {
+        let down = |v: f64| (v.max(0.0) * 1000.0 + 1e-6).floor() as u64;
+        Self {
+            cpus: down(cpus),
+            gpus: down(gpus),
+            memory: down(memory_gb),
+        }
+    }
+
+    pub fn fits(self, room: Self) -> bool {
+        self.cpus <= room.cpus && self.gpus <= room.gpus && self.memory <= room.memory
+    }
+
+    pub fn times(self, n: u64) -> Self {
+        Self {
+            cpus: self.cpus.saturating_mul(n),
+            gpus: self.gpus.saturating_mul(n),
+            memory: self.memory.saturating_mul(n),
+        }
+    }
+
+    /// How many of these fit into a room.
+    pub fn count_in(self, room: Self) -> u64 {
+        let each = |need: u64, room: u64| room.checked_div(need).unwrap_or(u64::MAX);
+        each(self.cpus, room.cpus)
+            .min(each(self.gpus, room.gpus))
+            .min(each(self.memory, room.memory))
+    }
+}
+
+impl Add for Amounts {
+    type Output = Self;
+    fn add(self, other: Self) -> Self {
+        Self {
+            cpus: self.cpus.saturating_add(other.cpus),
+            gpus: self.gpus.saturating_add(other.gpus),
+            memory: self.memory.saturating_add(other.memory),
+        }
+    }
+}
+
+impl Sub for Amounts {
+    type Output = Self;
+    fn sub(self, other: Self) -> Self {
+        Self {
+            cpus: self.cpus.saturating_sub(other.cpus),
+            gpus: self.gpus.saturating_sub(other.gpus),
+            memory: self.memory.saturating_sub(other.memory),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn needs_round_up_and_room_rounds_down() {
+        let need = Amounts::need(0.1, 0.0, 1.00001);
+        assert_eq!((need.cpus, need.memory), (100, 1001));
+        assert_eq!(Amounts::room(4.0, 0.0, 15.9999).memory, 15_999);
+        assert_eq!(need.count_in(Amounts::room(1.0, 0.0, 64.0)), 10);
+    }
+
+    #[test]
+    fn machines_are_dealt_out_evenly_in_the_order_of_their_names() {
+        let blocks: Vec<u32> = (230..236)
+            .map(|n| MachineId::from(format!("vm-{n:06}").as_str()).block(6).0)
+            .collect();
+        let mut sorted = blocks.clone();
+        sorted.sort_unstable();
+        assert_eq!(sorted, vec![0, 1, 2, 3, 4, 5]);
+    }
+
+    #[test]
+    fn task_ids_read_back() {
+        let task = TaskId::parse("job-000412/3").expect("task");
+        assert_eq!((task.job.as_str(), task.index), ("job-000412", 3));
+        assert_eq!(task.to_string(), "job-000412/3");
+        assert!(TaskId::parse("job-000412").is_none() && TaskId::parse("a/-1").is_none());
+    }
+}
--- /dev/null
+++ b/src/intake/mod.rs
@@ -0,0 +1,7 @@
+//! The users' side: submissions, polls, withdrawals. Any controller serves it.
+
+mod over;
+mod service;
+mod verify;
+
+pub use service::Intake;
--- /dev/null
+++ b/src/intake/service.rs
@@ -0,0 +1,304 @@
+//! Submissions, polls and withdrawals, each decided by the state service.
+
+use super::over::OverCache;
+use super::verify::{Verdict, Verifier};
+use crate::config::Config;
+use crate::controller::Controller;
+use crate::http::Response;
+use crate::ids::{JobId, Revision, Wall};
+use crate::store::records::{JobRecord, OverRecord};
+use crate::store::tokens::Class;
+use crate::store::{Store, StoreError, TxnOutcome, keys};
+use crate::wire::state::Txn;
+use crate::wire::{Catalog, JobSpec, JobState, JobStatus, Kind, valid_job_id};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// Short, since what stands in the way is mostly over in a second or two.
+const COME_BACK: u32 = 1;
+
+pub struct Intake {
+    config: Config,
+    store: Rc<Store>,
+    controller: Rc<RefCell<Controller>>,
+    verifier: Verifier,
+    over: RefCell<OverCache>,
+}
+
+/// Where a job stands, as checked against the state service.
+enum Found {
+    Live,
+    Over(OverRecord),
+    Never,
+    Unknown,
+}
+
+fn later(why: &str) -> Response {
+    Response::later(why, COME_BACK)
+}
+
+fn status(code: u16, id: &JobId, state: JobState, counts: Option<(u64, u64)>) -> Response {
+    Response::json(
+        code,
+        &JobStatus {
+            id: id.as_str(),
+            state,
+            done: counts.map(|c| c.0),
+            running: counts.map(|c| c.1),
+        },
+    )
+}
+
+fn final_status(id: &JobId, record: OverRecord) -> Response {
+    let done = match record.state {
+        JobState::Done => record.tasks.into(),
+        _ => 0,
+    };
+    status(200, id, record.state, Some((done, 0)))
+}
+
+/// Why a job can never run, if so.
+fn impossible(spec: &JobSpec, config: &Config, catalog: &Catalog) -> Option<&'static str> {
+    let Some(team) = config.teams.get(&spec.team) else {
+        return Some("unknown team");
+    };
+    let need = spec.need();
+    let fits = catalog.types.iter().any(|t| {
+        let allowed = spec.types.as_ref().is_none_or(|l| l.contains(&t.name));
+        let zone = spec.zone.as_ref().is_none_or(|z| t.zones.contains(z));
+        allowed && zone && need.fits(t.room())
+    });
+    if !fits {
+        return Some("a task fits no allowed machine type");
+    }
+    let at_once = match spec.kind {
+        Kind::Array => 1,
+        Kind::Gang | Kind::Service => spec.tasks.into(),
+    };
+    let mut total = need.times(at_once);
+    total.memory = 0;
+    (!total.fits(team.limit)).then_some("needs more than the team's limit")
+}
+
+impl Intake {
+    pub fn new(config: &Config, store: Rc<Store>, controller: Rc<RefCell<Controller>>) -> Self {
+        let verifier = Verifier::start(store.clone(), 4 * config.txn_ops);
+        Self {
+            config: config.clone(),
+            store,
+            controller,
+            verifier,
+            over: RefCell::default(),
+        }
+    }
+
+    pub async fn submit(&self, body: &[u8]) -> Response {
+        let spec = match JobSpec::parse(body) {
+            Ok(spec) => spec,
+            Err(message) => return Response::error(400, &message),
+        };
+        let id = spec.id.clone();
+        let (known, catalog) = {
+            let controller = self.controller.borrow();
+            let catalog = controller.replica.catalog.as_ref().map(|c| c.value.clone());
+            (controller.replica.jobs.contains_key(&id), catalog)
+        };
+        if known || self.over.borrow().get(&id).is_some() {
+            return self.poll_known(&id).await;
+        }
+        if !self.store.is_up() {
+            return later("the state service can't be reached");
+        }
+        let Some(catalog) = catalog else {
+            return later("machine types are not known yet");
+        };
+        if let Some(why) = impossible(&spec, &self.config, &catalog) {
+            // What was accepted once is never refused later, whatever has changed since.
+            return match self.find(&id).await {
+                Found::Never => Response::error(422, why),
+                Found::Unknown => later("the state service can't be reached"),
+                Found::Live | Found::Over(_) => self.poll_known(&id).await,
+            };
+        }
+        let record = JobRecord {
+            spec,
+            accepted: wall(),
+        };
+        let mut txn = Txn::default();
+        txn.require(keys::job(&id), Revision(0));
+        txn.require(keys::over(&id), Revision(0));
+        txn.put(keys::job(&id), &record, None);
+        match self.store.txn(Class::Accept, &txn).await {
+            TxnOutcome::Committed(_) => status(201, &id, JobState::Queued, None),
+            TxnOutcome::Failed(..) => self.poll_known(&id).await,
+            TxnOutcome::Refused => later("too much is asked of the state service"),
+            // It may stand already; the repeat will tell.
+            TxnOutcome::Unknown => later("the state service did not answer"),
+        }
+    }
+
+    pub async fn poll(&self, id: &str) -> Response {
+        if !valid_job_id(id) {
+            return Response::error(404, "no such job");
+        }
+        self.poll_known(&id.into()).await
+    }
+
+    async fn poll_known(&self, id: &JobId) -> Response {
+        if let Some(record) = self.over.borrow().get(id) {
+            return final_status(id, record);
+        }
+        if !self.store.is_up() {
+            return later("the state service can't be reached");
+        }
+        let revision = {
+            let controller = self.controller.borrow();
+            controller.replica.jobs.get(id).map(|j| j.revision)
+        };
+        if let Some(revision) = revision {
+            match self.verifier.verify(id, revision).await {
+                Verdict::Unchanged => return self.live_status(id),
+                Verdict::Changed => {}
+                Verdict::Unknown => return later("the state service can't be reached"),
+            }
+        }
+        match self.find(id).await {
+            Found::Live => self.live_status(id),
+            Found::Over(record) => final_status(id, record),
+            Found::Never => Response::error(404, "no such job"),
+            Found::Unknown => later("the state service can't be reached"),
+        }
+    }
+
+    /// Counts are for display: they are the mirror's.
+    fn live_status(&self, id: &JobId) -> Response {
+        let controller = self.controller.borrow();
+        let (done, running) = controller.replica.jobs.get(id).map_or((0, 0), |j| {
+            (u64::from(j.done_count()), j.placed.len() as u64)
+        });
+        let state = if running > 0 {
+            JobState::Running
+        } else {
+            JobState::Queued
+        };
+        status(200, id, state, Some((done, running)))
+    }
+
+    /// Reads a job's records. A job leaves the first key only together with its entry under the
+    /// second, so reading them in this order can't miss it.
+    async fn find(&self, id: &JobId) -> Found {
+        match self.store.get(Class::Poll, &keys::job(id)).await {
+            Ok(Some(_)) => return Found::Live,
+            Ok(None) => {}
+            Err(_) => return Found::Unknown,
+        }
+        match self.read_over(id).await {
+            Ok(Some(record)) => Found::Over(record),
+            Ok(None) => Found::Never,
+            Err(_) => Found::Unknown,
+        }
+    }
+
+    async fn read_over(&self, id: &JobId) -> Result<Option<OverRecord>, StoreError> {
+        let Some(item) = self.store.get(Class::Poll, &keys::over(id)).await? else {
+            return Ok(None);
+        };
+        let record: OverRecord =
+            serde_json::from_value(item.value).map_err(|_| StoreError::Unavailable)?;
+        self.over.borrow_mut().put(id, record);
+        Ok(Some(record))
+    }
+
+    pub async fn cancel(&self, id: &str) -> Response {
+        if !valid_job_id(id) {
+            return Response::error(404, "no such job");
+        }
+        let id = JobId::from(id);
+        if let Some(record) = self.over.borrow().get(&id) {
+            return final_status(&id, record);
+        }
+        if !self.store.is_up() {
+            return later("the state service can't be reached");
+        }
+        let item = match self.store.get(Class::Accept, &keys::job(&id)).await {
+            Ok(item) => item,
+            Err(_) => return later("the state service can't be reached"),
+        };
+        let Some(item) = item else {
+            return match self.read_over(&id).await {
+                Ok(Some(record)) => final_status(&id, record),
+                Ok(None) => Response::error(404, "no such job"),
+                Err(_) => later("the state service can't be reached"),
+            };
+        };
+        let tasks = serde_json::from_value::<JobRecord>(item.value).map_or(0, |r| r.spec.tasks);
+        let record = OverRecord {
+            state: JobState::Cancelled,
+            tasks,
+        };
+        let mut txn = Txn::default();
+        txn.require(keys::job(&id), item.revision);
+        txn.put(keys::over(&id), &record, None);
+        txn.delete(keys::job(&id));
+        txn.delete(keys::plan(&id));
+        match self.store.txn(Class::Accept, &txn).await {
+            TxnOutcome::Committed(_) => {
+                self.over.borrow_mut().put(&id, record);
+                final_status(&id, record)
+            }
+            // Done or cancelled in between, or it was never there: the repeat will tell.
+            _ => later("the state service did not take it"),
+        }
+    }
+}
+
+fn wall() -> Wall {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    Wall(since.map_or(0, |d| d.as_millis() as u64))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::tests::sample_config;
+
+    fn catalog() -> Catalog {
+        serde_json::from_value(serde_json::json!({"hulls": [
+            {"name": "t8", "cores": 8, "cards": 0, "memory_gb": 32, "cache_gb": 50, "fetch_gb_per_s": 1.0,
+             "price": 1.0, "low_price": 0.5, "startup_s": 20, "berths": ["a"]}]}))
+        .expect("catalog")
+    }
+
+    #[test]
+    fn what_can_never_run_is_told_from_what_must_wait() {
+        let config = sample_config();
+        let base = crate::wire::tests::spec("job-000001");
+        let verdict = |change: &dyn Fn(&mut JobSpec)| {
+            let mut spec = base.clone();
+            change(&mut spec);
+            impossible(&spec, &config, &catalog())
+        };
+        assert_eq!(verdict(&|_| ()), None);
+        // Far more tasks than the limit are fine for an array, and never for a service.
+        assert_eq!(verdict(&|s| s.tasks = 100_000), None);
+        assert!(
+            verdict(&|s| {
+                s.tasks = 13;
+                s.kind = Kind::Service
+            })
+            .is_some()
+        );
+        assert_eq!(
+            verdict(&|s| {
+                s.tasks = 12;
+                s.kind = Kind::Service
+            }),
+            None
+        );
+        assert!(verdict(&|s| s.team = "green".into()).is_some());
+        assert!(verdict(&|s| s.cpus = 8.5).is_some());
+        assert!(verdict(&|s| s.zone = Some("b".into())).is_some());
+        assert!(verdict(&|s| s.types = Some(vec!["t9".into()])).is_some());
+        assert!(verdict(&|s| s.gpus = 1.0).is_some());
+    }
+}
--- /dev/null
+++ b/src/intake/verify.rs
@@ -0,0 +1,84 @@
+//! Checks in bulk that jobs are still as the mirror shows them: a transaction that only compares
+//! covers many polls with one request.
+
+use crate::ids::{JobId, Revision};
+use crate::runtime::{self, Sender, channel, oneshot};
+use crate::store::tokens::Class;
+use crate::store::{Store, TxnOutcome, keys};
+use crate::wire::state::Txn;
+use std::rc::Rc;
+use std::time::Duration;
+
+const GATHER: Duration = Duration::from_millis(15);
+const BACKLOG: usize = 4000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Unchanged,
+    Changed,
+    Unknown,
+}
+
+struct Question {
+    job: JobId,
+    revision: Revision,
+    answer: Sender<Verdict>,
+}
+
+pub struct Verifier {
+    queue: Sender<Question>,
+}
+
+impl Verifier {
+    pub fn start(store: Rc<Store>, most: usize) -> Self {
+        let (queue, mut questions) = channel::<Question>();
+        runtime::spawn(async move {
+            while let Some(first) = questions.recv().await {
+                runtime::sleep(GATHER).await;
+                let mut batch = vec![first];
+                while batch.len() < most
+                    && let Some(next) = questions.try_recv()
+                {
+                    batch.push(next);
+                }
+                runtime::spawn(check(store.clone(), batch));
+            }
+        });
+        Self { queue }
+    }
+
+    pub async fn verify(&self, job: &JobId, revision: Revision) -> Verdict {
+        if self.queue.backlog() >= BACKLOG {
+            return Verdict::Unknown;
+        }
+        let (answer, result) = oneshot();
+        self.queue.send(Question {
+            job: job.clone(),
+            revision,
+            answer,
+        });
+        result.get().await.unwrap_or(Verdict::Unknown)
+    }
+}
+
+async fn check(store: Rc<Store>, batch: Vec<Question>) {
+    let mut txn = Txn::default();
+    for question in &batch {
+        txn.require(keys::job(&question.job), question.revision);
+    }
+    let outcome = store.txn(Class::Poll, &txn).await;
+    for question in batch {
+        let verdict = match &outcome {
+            TxnOutcome::Committed(_) => Verdict::Unchanged,
+            TxnOutcome::Failed(failed, _) => {
+                if failed.contains(&keys::job(&question.job)) {
+                    Verdict::Changed
+                } else {
+                    Verdict::Unchanged
+                }
+            }
+            TxnOutcome::Refused | TxnOutcome::Unknown => Verdict::Unknown,
+        };
+        question.answer.send(verdict);
+    }
+}
--- /dev/null
+++ b/src/leadership/grants.rs
@@ -0,0 +1,84 @@
+//! The routine that keeps this process's grant and its member record.
+
+use crate::ids::{GrantId, Incarnation, Member, Revision};
+use crate::runtime;
+use crate::store::records::MemberRecord;
+use crate::store::tokens::Class;
+use crate::store::{Store, StoreError, TxnOutcome, keys};
+use crate::wire::state::Txn;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const RETRY: Duration = Duration::from_millis(300);
+
+/// Ends what an earlier life of this controller left, then holds a grant for ever. `tell` hears
+/// of each new grant, and of its loss.
+pub async fn keep_grant(
+    store: Rc<Store>,
+    me: Member,
+    incarnation: Incarnation,
+    life: impl Fn() -> Duration,
+    tell: impl Fn(Option<GrantId>),
+) {
+    let key = keys::member(&me);
+    loop {
+        // Sent before the request leaves: the grant can't end sooner than this says.
+        let sent = Instant::now();
+        let life_now = life();
+        match enter(&store, &key, incarnation, life_now).await {
+            Some(grant) => {
+                tell(Some(grant));
+                extend(&store, grant, life_now, sent).await;
+                tell(None);
+            }
+            None => runtime::sleep(RETRY).await,
+        }
+    }
+}
+
+async fn enter(
+    store: &Store,
+    key: &str,
+    incarnation: Incarnation,
+    life: Duration,
+) -> Option<GrantId> {
+    let old = store.get(Class::Grant, key).await.ok()?;
+    let mut revision = Revision(0);
+    if let Some(item) = old {
+        let record: Option<MemberRecord> = serde_json::from_value(item.value).ok();
+        let left = record.map(|r| r.grant).or(item.grant);
+        match left {
+            // Ending the old grant removes its keys: the member's, the leader's and the blocks'.
+            Some(grant) => store.end_grant(grant).await.ok()?,
+            None => revision = item.revision,
+        }
+    }
+    let grant = store.create_grant(life.as_millis() as u64).await.ok()?;
+    let mut txn = Txn::default();
+    txn.require(key, revision);
+    txn.put(key, &MemberRecord { incarnation, grant }, Some(grant));
+    match store.txn(Class::Grant, &txn).await {
+        TxnOutcome::Committed(_) => Some(grant),
+        _ => {
+            store.end_grant(grant).await.ok();
+            None
+        }
+    }
+}
+
+/// Returns once the grant is gone.
+async fn extend(store: &Store, grant: GrantId, life: Duration, mut sent: Instant) {
+    loop {
+        runtime::sleep(life / 3).await;
+        let now = Instant::now();
+        match store.extend_grant(grant).await {
+            Ok(()) => sent = now,
+            Err(StoreError::Gone) => return,
+            // In an outage grants keep their time; only the service can say that it is gone.
+            Err(StoreError::Unavailable) => {
+                tracing::debug!(late = ?sent.elapsed(), "grant not extended");
+                runtime::sleep(RETRY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,85 @@
+//! laurellanding: a cluster scheduler.
+
+mod admin;
+mod cloud;
+mod config;
+mod controller;
+mod daemon;
+mod http;
+mod ids;
+mod intake;
+mod leadership;
+mod peers;
+mod placement;
+mod planning;
+mod runtime;
+mod store;
+mod wire;
+mod workers;
+
+use clap::{Parser, Subcommand};
+use config::Config;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(version, about = "A cluster scheduler", arg_required_else_help = true)]
+struct Cli {
+    /// Start a controller with this settings file
+    #[arg(long, value_name = "FILE")]
+    config: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Check a settings file and say what is wrong with it
+    CheckConfig { file: PathBuf },
+}
+
+fn log_level() -> Result<tracing::Level, String> {
+    match std::env::var("LOG_LEVEL").as_deref() {
+        Err(_) | Ok("") | Ok("info") => Ok(tracing::Level::INFO),
+        Ok("error") => Ok(tracing::Level::ERROR),
+        Ok("debug") => Ok(tracing::Level::DEBUG),
+        Ok(other) => Err(format!(
+            "LOG_LEVEL must be error, info or debug, not `{other}`"
+        )),
+    }
+}
+
+fn fail(message: &str) -> ExitCode {
+    eprintln!("laurellanding: {message}");
+    ExitCode::from(2)
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let (file, check) = match (cli.command, cli.config) {
+        (Some(Command::CheckConfig { file }), _) => (file, true),
+        (None, Some(file)) => (file, false),
+        (None, None) => return fail("--config FILE is needed; see --help"),
+    };
+    let config = match Config::load(&file) {
+        Ok(config) => config,
+        Err(error) => return fail(&error.to_string()),
+    };
+    if check {
+        println!("{}: ok", file.display());
+        return ExitCode::SUCCESS;
+    }
+    let level = match log_level() {
+        Ok(level) => level,
+        Err(message) => return fail(&message),
+    };
+    tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_ansi(false)
+        .with_writer(std::io::stderr)
+        .init();
+    match daemon::run(config) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error.to_string()),
+    }
+}
--- /dev/null
+++ b/src/peers/frame.rs
@@ -0,0 +1,110 @@
+//! Frames on the links: a length, a version and one `bincode` message. A frame that is too
+//! long, of another version or unreadable closes the link.
+
+use super::Message;
+
+/// Messages change with the program; controllers of other versions are not spoken to.
+const VERSION: u8 = 1;
+pub const FRAME_LIMIT: usize = 1024 * 1024;
+const HEAD: usize = 5;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum FrameError {
+    #[error("frame of {0} bytes is too long")]
+    TooLong(usize),
+    #[error("frame version {0} is not spoken here")]
+    Version(u8),
+    #[error("frame can't be decoded")]
+    Unreadable,
+}
+
+/// The limit keeps lengths inside a frame from asking for more memory than a frame holds.
+fn format() -> impl bincode::config::Config {
+    bincode::config::standard().with_limit::<FRAME_LIMIT>()
+}
+
+pub fn encode(message: &Message) -> Result<Vec<u8>, FrameError> {
+    let body =
+        bincode::serde::encode_to_vec(message, format()).map_err(|_| FrameError::Unreadable)?;
+    if body.len() > FRAME_LIMIT {
+        return Err(FrameError::TooLong(body.len()));
+    }
+    let mut frame = Vec::with_capacity(HEAD + body.len());
+    frame.extend_from_slice(&(body.len() as u32).to_be_bytes());
+    frame.push(VERSION);
+    frame.extend_from_slice(&body);
+    Ok(frame)
+}
+
+/// Takes one message off the front of the buffer, with the bytes it used.
+pub fn decode(buffer: &[u8]) -> Result<Option<(Message, usize)>, FrameError> {
+    let Some((head, rest)) = buffer.split_at_checked(HEAD) else {
+        return Ok(None);
+    };
+    let [a, b, c, d, version] = *head else {
+        return Err(FrameError::Unreadable);
+    };
+    let length = u32::from_be_bytes([a, b, c, d]) as usize;
+    if version != VERSION {
+        return Err(FrameError::Version(version));
+    }
+    if length > FRAME_LIMIT {
+        return Err(FrameError::TooLong(length));
+    }
+    let Some(body) = rest.get(..length) else {
+        return Ok(None);
+    };
+    let (message, used) =
+        bincode::serde::decode_from_slice(body, format()).map_err(|_| FrameError::Unreadable)?;
+    if used != length {
+        return Err(FrameError::Unreadable);
+    }
+    Ok(Some((message, HEAD + length)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::ids::{Incarnation, Revision, Run, TaskId};
+    use proptest::prelude::*;
+
+    #[test]
+    fn messages_survive_their_frames_and_foreign_frames_are_told() {
+        let task = TaskId::parse("job-1/2").expect("task");
+        let message = Message::Refused {
+            fence: Revision(u64::MAX),
+            runs: vec![
+                Run {
+                    task,
+                    attempt: crate::ids::Attempt(1 << 40)
+                };
+                3
+            ],
+        };
+        let frame = encode(&message).expect("frame");
+        assert_eq!(decode(&frame), Ok(Some((message, frame.len()))));
+        assert_eq!(decode(&frame[..frame.len() - 1]), Ok(None));
+        let mut other = frame.clone();
+        other[4] = VERSION + 1;
+        assert_eq!(decode(&other), Err(FrameError::Version(VERSION + 1)));
+        other = frame;
+        other[0] = 0xff;
+        assert!(matches!(decode(&other), Err(FrameError::TooLong(_))));
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 400, rng_seed: proptest::test_runner::RngSeed::Fixed(9), failure_persistence: None, ..ProptestConfig::default() })]
+        #[test]
+        fn any_bytes_are_survived(body in proptest::collection::vec(any::<u8>(), 0..200), at in 0usize..40, flip in any::<u8>()) {
+            let mut frame = (body.len() as u32).to_be_bytes().to_vec();
+            frame.push(VERSION);
+            frame.extend_from_slice(&body);
+            decode(&frame).ok();
+            let hello = Message::Hello { member: "c1".into(), incarnation: Incarnation(4) };
+            let mut frame = encode(&hello).expect("frame");
+            let at = at % frame.len();
+            frame[at] ^= flip;
+            decode(&frame).ok();
+        }
+    }
+}
--- /dev/null
+++ b/src/peers/messages.rs
@@ -0,0 +1,79 @@
+//! What controllers say to one another.
+
+use crate::ids::{
+    Attempt, BlockId, Incarnation, MachineId, Member, Pipeline, Revision, Run, Span, TypeName,
+};
+use crate::wire::Why;
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// First on every link.
+    Hello {
+        member: Member,
+        incarnation: Incarnation,
+    },
+    /// Leader to holder: place these tasks of a job inside the block.
+    Allot(Allotment),
+    /// Holder to leader: these will not be placed; certain, not a guess.
+    Refused { fence: Revision, runs: Vec<Run> },
+    /// Holder to leader: a placement was dropped, on proof.
+    Ended(Ended),
+    /// Leader to holder: stop a task, for a preemption or to drain its machine.
+    Stop {
+        machine: MachineId,
+        run: Run,
+        grace: Span,
+    },
+    /// Whether the sender is served by the state service.
+    StoreUp(bool),
+    /// Holder to leader: what it knows of its machines.
+    Health(Vec<MachineHealth>),
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Allotment {
+    pub block: BlockId,
+    pub fence: Revision,
+    pub job_revision: Revision,
+    pub runs: Vec<Run>,
+    /// Best first; the holder takes another of its machines when none of these fits.
+    pub preferred: Vec<MachineId>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    Done,
+    Exited(Why),
+    /// Never started here, or lost with its machine's session.
+    Absent,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ended {
+    pub run: Run,
+    pub machine: MachineId,
+    pub type_name: TypeName,
+    pub pipeline: Option<Pipeline>,
+    pub end: End,
+    /// How long it was seen running.
+    pub ran: Option<Span>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineHealth {
+    pub machine: MachineId,
+    pub fence: Revision,
+    /// Time without a word, reports and answered probes alike.
+    pub silent: Span,
+    /// It has said so under the holder's own token.
+    pub confirmed: bool,
+    pub notice: Option<Span>,
+    /// Tasks that wait for their image or their gang.
+    pub fetching: u32,
+}
+
+/// Attempts are never used twice: a term's number leads them.
+pub fn attempt(term: Revision, counter: u64) -> Attempt {
+    Attempt((term.0 << 20) + counter)
+}
--- /dev/null
+++ b/src/placement/accounts.rs
@@ -0,0 +1,93 @@
+//! Team accounts: what every placement that is not proved gone uses, and every allotment of
+//! this term that is not answered.
+
+use crate::config::Team;
+use crate::ids::{Amounts, TeamId};
+use std::collections::BTreeMap;
+
+pub struct Accounts<'a> {
+    teams: &'a BTreeMap<TeamId, Team>,
+    used: BTreeMap<TeamId, Amounts>,
+}
+
+impl<'a> Accounts<'a> {
+    pub fn new(teams: &'a BTreeMap<TeamId, Team>, used: BTreeMap<TeamId, Amounts>) -> Self {
+        Self { teams, used }
+    }
+
+    pub fn charge(&mut self, team: &TeamId, amounts: Amounts) {
+        match self.used.get_mut(team) {
+            Some(sum) => *sum = *sum + amounts,
+            None => {
+                self.used.insert(team.clone(), amounts);
+            }
+        }
+    }
+
+    pub fn used(&self, team: &TeamId) -> Amounts {
+        self.used.get(team).copied().unwrap_or_default()
+    }
+
+    /// How many tasks of a need the team's limit still allows. Memory has no limit.
+    pub fn allows(&self, team: &TeamId, need: Amounts) -> u64 {
+        let Some(limits) = self.teams.get(team) else {
+            return 0;
+        };
+        let free = limits.limit - self.used(team);
+        // A limit of 0 means none of it: a need of 0 still fits.
+        Amounts { memory: 0, ..need }.count_in(free)
+    }
+
+    /// Whether the team uses more than its guarantee, so that its work may make room for others'.
+    pub fn beyond_guarantee(&self, team: &TeamId) -> bool {
+        let used = self.used(team);
+        self.teams
+            .get(team)
+            .is_none_or(|t| used.cpus > t.guarantee.cpus || used.gpus > t.guarantee.gpus)
+    }
+
+    /// Whether the team stays within its guarantee with this much more.
+    pub fn within_guarantee(&self, team: &TeamId, more: Amounts) -> bool {
+        let sum = self.used(team) + more;
+        self.teams
+            .get(team)
+            .is_some_and(|t| sum.cpus <= t.guarantee.cpus && sum.gpus <= t.guarantee.gpus)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(21), failure_persistence: None, ..ProptestConfig::default() })]
+        /// The model admits one task at a time and adds everything up anew for each.
+        #[test]
+        fn admitted_counts_agree_with_one_by_one_admission(
+            steps in proptest::collection::vec((0usize..2, 1u64..9, 0u64..3), 1..30))
+        {
+            let config = crate::config::tests::sample_config();
+            let teams: Vec<TeamId> = config.teams.keys().cloned().collect();
+            let mut accounts = Accounts::new(&config.teams, BTreeMap::new());
+            let mut log: Vec<(TeamId, Amounts)> = Vec::new();
+            for (team, cpus, memory) in steps {
+                let team = &teams[team];
+                let need = Amounts { cpus: cpus * 1000, gpus: 0, memory: memory * 50_000 };
+                let used = |log: &[(TeamId, Amounts)]| -> u64 {
+                    log.iter().filter(|(t, _)| t == team).map(|(_, a)| a.cpus).sum()
+                };
+                let mut model = 0;
+                while used(&log) + (model + 1) * need.cpus <= config.teams[team].limit.cpus {
+                    model += 1;
+                }
+                prop_assert_eq!(accounts.allows(team, need), model);
+                if model > 0 {
+                    accounts.charge(team, need);
+                    log.push((team.clone(), need));
+                }
+                prop_assert_eq!(accounts.used(team).cpus, used(&log));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/faults.rs
@@ -0,0 +1,128 @@
+//! Machines that fail every task, told from jobs that fail everywhere.
+
+use crate::ids::{JobId, MachineId, Span, Time};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Failures of different jobs, with no success since, that make a machine suspect.
+const SUSPECT: usize = 2;
+const SHUN: Span = Span(60_000);
+const FIRST_PAUSE: u64 = 1000;
+const LONGEST_PAUSE: u64 = 60_000;
+
+#[derive(Debug, Default)]
+struct MachineFaults {
+    jobs: BTreeSet<JobId>,
+    count: usize,
+    shunned_until: Time,
+}
+
+#[derive(Debug, Default)]
+struct JobFaults {
+    machines: BTreeSet<MachineId>,
+    count: u32,
+    paused_until: Time,
+}
+
+#[derive(Debug, Default)]
+pub struct Faults {
+    machines: BTreeMap<MachineId, MachineFaults>,
+    jobs: BTreeMap<JobId, JobFaults>,
+}
+
+impl Faults {
+    pub fn failed(&mut self, now: Time, job: &JobId, machine: &MachineId) {
+        let elsewhere = self
+            .jobs
+            .get(job)
+            .is_some_and(|j| j.machines.iter().any(|m| m != machine));
+        let faults = self.machines.entry(machine.clone()).or_default();
+        faults.jobs.insert(job.clone());
+        faults.count += 1;
+        // A job that fails on other machines too speaks against itself.
+        if !elsewhere && (faults.jobs.len() >= SUSPECT || faults.count >= 3) {
+            faults.shunned_until = now + SHUN;
+        }
+        let faults = self.jobs.entry(job.clone()).or_default();
+        faults.machines.insert(machine.clone());
+        faults.count += 1;
+        // One bad machine must not hold a job back; failing on several does, so that a job that
+        // fails everywhere does not eat the fleet.
+        if faults.machines.len() >= 2 {
+            let doubled = FIRST_PAUSE << (faults.count.min(20) / 2).saturating_sub(1).min(6);
+            faults.paused_until = now + Span(doubled.min(LONGEST_PAUSE));
+        }
+    }
+
+    pub fn succeeded(&mut self, job: &JobId, machine: &MachineId) {
+        self.machines.remove(machine);
+        self.jobs.remove(job);
+    }
+
+    pub fn shunned(&self, now: Time, machine: &MachineId) -> bool {
+        self.machines
+            .get(machine)
+            .is_some_and(|m| now < m.shunned_until)
+    }
+
+    /// A job is not tried again where it failed while other machines are left.
+    pub fn failed_on(&self, job: &JobId, machine: &MachineId) -> bool {
+        self.jobs
+            .get(job)
+            .is_some_and(|j| j.machines.len() < 4 && j.machines.contains(machine))
+    }
+
+    pub fn paused(&self, now: Time, job: &JobId) -> bool {
+        self.jobs.get(job).is_some_and(|j| now < j.paused_until)
+    }
+
+    /// How many tasks a job that has failed on several machines may try at a time.
+    pub fn trial(&self, job: &JobId) -> Option<usize> {
+        self.jobs
+            .get(job)
+            .filter(|j| j.machines.len() >= 2)
+            .map(|_| 1)
+    }
+
+    pub fn retain(&mut self, job: impl Fn(&JobId) -> bool, machine: impl Fn(&MachineId) -> bool) {
+        self.jobs.retain(|id, _| job(id));
+        self.machines.retain(|id, _| machine(id));
+    }
+
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_machine_that_fails_several_jobs_is_shunned_and_the_jobs_go_on() {
+        let mut faults = Faults::default();
+        let sick = MachineId::from("vm-1");
+        for (i, job) in ["job-1", "job-2"].into_iter().enumerate() {
+            faults.failed(Time(i as u64), &job.into(), &sick);
+            assert!(!faults.paused(Time(i as u64), &job.into()));
+        }
+        assert!(faults.shunned(Time(5), &sick));
+        assert!(!faults.shunned(Time(5) + SHUN, &sick));
+    }
+
+    #[test]
+    fn a_job_that_fails_everywhere_backs_off_and_shuns_no_fleet() {
+        let mut faults = Faults::default();
+        let job = JobId::from("job-1");
+        let mut pauses = Vec::new();
+        for n in 0..12 {
+            let machine = MachineId::from(format!("vm-{n}").as_str());
+            faults.failed(Time(0), &job, &machine);
+            let pause = (0..100).find(|s| !faults.paused(Time(s * 1000), &job));
+            pauses.push(pause.expect("a bound"));
+            assert!(!faults.shunned(Time(1), &machine));
+        }
+        assert_eq!(pauses[0], 0);
+        assert!(pauses.windows(2).all(|w| w[0] <= w[1]) && pauses[11] >= 16);
+        assert_eq!(faults.trial(&job), Some(1));
+    }
+}
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,9 @@
+//! The leader's duty: team accounts, the order of jobs, where each task is allotted, and what
+//! is stopped to make room.
+
+mod accounts;
+mod faults;
+mod order;
+mod scheduler;
+
+pub use scheduler::{Effect, Scheduler, Shortage};
--- /dev/null
+++ b/src/placement/scheduler.rs
@@ -0,0 +1,554 @@
+//! Allots tasks to blocks. The leader counts every placement that is not proved gone and every
+//! allotment of its term, and prefers each job's placement group; the holders place.
+
+use super::accounts::Accounts;
+use super::faults::Faults;
+use super::order::{guaranteed, rank};
+use crate::config::Config;
+use crate::ids::{
+    Amounts, BlockId, JobId, MachineId, Member, Revision, Run, Span, TaskId, TeamId, Time,
+    TypeName, Zone,
+};
+use crate::peers::{Allotment, End, Ended, MachineHealth, Message, attempt};
+use crate::store::replica::{LiveJob, Replica};
+use crate::wire::{Kind, Priority, Why};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+
+#[derive(Debug)]
+pub enum Effect {
+    ToHolder(Member, Message),
+    /// An allotment has gone without an answer: rewriting the block voids it.
+    RenewBlock(BlockId),
+}
+
+/// Tasks for which no machine has room.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shortage {
+    pub job: JobId,
+    pub need: Amounts,
+    pub tasks: u64,
+    pub seconds: f64,
+    pub priority: Priority,
+    pub service: bool,
+}
+
+/// An allotment without an answer for so long is voided by rewriting its block.
+const ANSWER: Span = Span(5000);
+/// A machine whose holder says nothing of it is not used.
+const HEALTH_AGE: Span = Span(5000);
+/// A preemption that has freed nothing by then is forgotten.
+const PREEMPT: Span = Span(10_000);
+/// Tasks of one allotment.
+const BATCH: usize = 400;
+
+struct Allotted {
+    block: BlockId,
+    fence: Revision,
+    machine: MachineId,
+    team: TeamId,
+    need: Amounts,
+    at: Time,
+}
+
+/// What the holder of a machine last said of it.
+#[derive(Clone, Debug)]
+pub struct Health {
+    pub at: Time,
+    pub last: MachineHealth,
+}
+
+pub struct Scheduler {
+    config: Config,
+    term: Revision,
+    counter: u64,
+    allotted: HashMap<Run, Allotted>,
+    pub health: BTreeMap<MachineId, Health>,
+    pub faults: Faults,
+    preempted: HashMap<Run, Time>,
+    renewed: BTreeMap<BlockId, Time>,
+    pub shortages: Vec<Shortage>,
+    /// Machines on their way out: they get nothing new.
+    pub leaving: BTreeSet<MachineId>,
+}
+
+/// One machine in a round of allotting.
+struct Candidate<'a> {
+    id: &'a MachineId,
+    block: BlockId,
+    fence: Revision,
+    holder: &'a Member,
+    type_name: &'a TypeName,
+    zone: &'a Zone,
+    spot: bool,
+    room: Amounts,
+    free: Amounts,
+    images: Vec<&'a str>,
+}
+
+impl Scheduler {
+    pub fn new(config: &Config) -> Self {
+        Self {
+            config: config.clone(),
+            term: Revision(0),
+            counter: 0,
+            allotted: HashMap::new(),
+            health: BTreeMap::new(),
+            faults: Faults::default(),
+            preempted: HashMap::new(),
+            renewed: BTreeMap::new(),
+            shortages: Vec::new(),
+            leaving: BTreeSet::new(),
+        }
+    }
+
+    pub fn on_health(&mut self, now: Time, health: Vec<MachineHealth>) {
+        for last in health {
+            self.health
+                .insert(last.machine.clone(), Health { at: now, last });
+        }
+    }
+
+    pub fn on_refused(&mut self, fence: Revision, runs: &[Run]) {
+        for run in runs {
+            if self.allotted.get(run).is_some_and(|a| a.fence == fence) {
+                self.allotted.remove(run);
+            }
+        }
+    }
+
+    pub fn on_ended(&mut self, now: Time, ended: &Ended) {
+        self.allotted.remove(&ended.run);
+        self.preempted.remove(&ended.run);
+        let job = &ended.run.task.job;
+        match ended.end {
+            End::Done => self.faults.succeeded(job, &ended.machine),
+            End::Exited(Why::Error) => self.faults.failed(now, job, &ended.machine),
+            End::Exited(_) | End::Absent => {}
+        }
+    }
+
+    /// Another term: what was allotted in an earlier one failed at the blocks' fences, or is in
+    /// the mirror.
+    fn enter(&mut self, term: Revision) {
+        if self.term != term {
+            self.term = term;
+            self.counter = 0;
+            self.allotted.clear();
+            self.preempted.clear();
+            self.faults.clear();
+            self.leaving.clear();
+        }
+    }
+
+    pub fn drive(&mut self, now: Time, term: Revision, replica: &Replica, out: &mut Vec<Effect>) {
+        self.enter(term);
+        self.settle(now, replica, out);
+        let mut accounts = Accounts::new(&self.config.teams, replica.team_usage());
+        let mut promised: HashMap<&MachineId, Amounts> = HashMap::new();
+        let mut taken: HashMap<&JobId, HashMap<u32, &MachineId>> = HashMap::new();
+        for (run, a) in &self.allotted {
+            accounts.charge(&a.team, a.need);
+            let sum = promised.entry(&a.machine).or_default();
+            *sum = *sum + a.need;
+            let tasks = taken.entry(&run.task.job).or_default();
+            tasks.insert(run.task.index, &a.machine);
+        }
+        let mut candidates = self.candidates(now, replica, &promised);
+        let within = guaranteed(&self.config.teams, replica.jobs.iter());
+        let segment_tasks = self.config.segment_tasks();
+        let mut waiting: Vec<(&JobId, &LiveJob)> = replica
+            .jobs
+            .iter()
+            .filter(|(id, job)| {
+                job.spec.kind != Kind::Gang
+                    && !self.faults.paused(now, id)
+                    && job.done_count() + (job.placed.len() as u32) < job.spec.tasks
+            })
+            .collect();
+        waiting.sort_by_cached_key(|(id, job)| rank(id, job, within.contains(*id)));
+        let mut shortages = Vec::new();
+        let mut allotments: Vec<(Member, Allotment, Vec<(MachineId, TeamId, Amounts)>)> =
+            Vec::new();
+        for (id, job) in waiting {
+            let spec = &job.spec;
+            let need = spec.need();
+            let already = taken.get(id);
+            let mut allowed = accounts.allows(&spec.team, need).min(BATCH as u64) as usize;
+            if let Some(trial) = self.faults.trial(id) {
+                let going = job.placed.len() + already.map_or(0, HashMap::len);
+                allowed = allowed.min(trial.saturating_sub(going));
+            }
+            let open: Vec<u32> = job
+                .open_tasks(segment_tasks)
+                .filter(|i| already.is_none_or(|a| !a.contains_key(i)))
+                .take(allowed)
+                .collect();
+            if open.is_empty() {
+                continue;
+            }
+            let mut zones = ZoneRule::new(job, already, replica);
+            let order = self.preference(id, job, &candidates);
+            let mut open = open.into_iter().peekable();
+            let listed: Vec<(BlockId, MachineId)> = order
+                .iter()
+                .map(|at| (candidates[*at].block, candidates[*at].id.clone()))
+                .collect();
+            for at in order {
+                let candidate = &mut candidates[at];
+                let mut runs = Vec::new();
+                while open.peek().is_some()
+                    && need.fits(candidate.free)
+                    && zones.admits(candidate.zone)
+                {
+                    let Some(index) = open.next() else { break };
+                    zones.add(candidate.zone);
+                    candidate.free = candidate.free - need;
+                    accounts.charge(&spec.team, need);
+                    self.counter += 1;
+                    runs.push(Run {
+                        task: TaskId {
+                            job: id.clone(),
+                            index,
+                        },
+                        attempt: attempt(term, self.counter),
+                    });
+                }
+                if runs.is_empty() {
+                    continue;
+                }
+                let notes = vec![(candidate.id.clone(), spec.team.clone(), need); runs.len()];
+                let allotment = Allotment {
+                    block: candidate.block,
+                    fence: candidate.fence,
+                    job_revision: job.revision,
+                    runs,
+                    preferred: preferred(candidate, &listed, zones.binds()),
+                };
+                allotments.push((candidate.holder.clone(), allotment, notes));
+                if open.peek().is_none() {
+                    break;
+                }
+            }
+            let left = open.count() as u64;
+            if left > 0 {
+                shortages.push(Shortage {
+                    job: id.clone(),
+                    need,
+                    tasks: left,
+                    seconds: job.plan.as_ref().map_or(spec.estimate_s, |p| p.predicted_s),
+                    priority: spec.priority,
+                    service: spec.kind == Kind::Service,
+                });
+            }
+        }
+        let stops = self.preemptions(replica, &shortages, &candidates, &accounts, &within);
+        drop(candidates);
+        for (machine, run) in stops {
+            let block = machine.block(self.config.blocks());
+            let Some(record) = replica.blocks.get(&block) else {
+                continue;
+            };
+            let grace = replica
+                .jobs
+                .get(&run.task.job)
+                .map_or(Span(0), |j| Span::from_secs(j.spec.save_s));
+            self.preempted.insert(run.clone(), now);
+            let message = Message::Stop {
+                machine,
+                run,
+                grace,
+            };
+            out.push(Effect::ToHolder(record.value.holder.clone(), message));
+        }
+        for (holder, allotment, notes) in allotments {
+            for (run, (machine, team, need)) in allotment.runs.iter().zip(notes) {
+                let note = Allotted {
+                    block: allotment.block,
+                    fence: allotment.fence,
+                    machine,
+                    team,
+                    need,
+                    at: now,
+                };
+                self.allotted.insert(run.clone(), note);
+            }
+            out.push(Effect::ToHolder(holder, Message::Allot(allotment)));
+        }
+        self.shortages = shortages;
+    }
+
+    /// Takes off the books what the mirror shows as placed, or what can no longer be placed.
+    fn settle(&mut self, now: Time, replica: &Replica, out: &mut Vec<Effect>) {
+        let mut overdue = BTreeSet::new();
+        self.allotted.retain(|run, a| {
+            // Placements under the old fence were committed before the block's new record, so
+            // the mirror has them.
+            let fenced = replica
+                .blocks
+                .get(&a.block)
+                .is_none_or(|b| b.revision != a.fence);
+            let placed = replica.jobs.get(&run.task.job).is_some_and(|j| {
+                j.placed
+                    .get(&run.task.index)
+                    .is_some_and(|(_, attempt)| *attempt == run.attempt)
+            });
+            if now.since(a.at) >= ANSWER {
+                overdue.insert(a.block);
+            }
+            !fenced && !placed
+        });
+        for block in overdue {
+            let recent = self
+                .renewed
+                .get(&block)
+                .is_some_and(|at| now.since(*at) < ANSWER);
+            if !recent {
+                self.renewed.insert(block, now);
+                out.push(Effect::RenewBlock(block));
+            }
+        }
+        self.preempted.retain(|_, at| now.since(*at) < PREEMPT);
+        self.health
+            .retain(|id, _| replica.machines.contains_key(id));
+        self.faults.retain(
+            |job| replica.jobs.contains_key(job),
+            |machine| replica.machines.contains_key(machine),
+        );
+    }
+
+    /// Whether a machine can take work: its holder has it, under the present token, and no
+    /// notice or fault stands against it.
+    pub fn usable(&self, now: Time, id: &MachineId, replica: &Replica) -> bool {
+        let block = id.block(self.config.blocks());
+        let fence = replica.blocks.get(&block).map(|b| b.revision);
+        let healthy = self.health.get(id).is_some_and(|h| {
+            Some(h.last.fence) == fence
+                && h.last.confirmed
+                && h.last.notice.is_none()
+                && now.since(h.at) < HEALTH_AGE
+                && h.last.silent < self.config.report + Span(2000)
+        });
+        healthy && !self.faults.shunned(now, id) && !self.leaving.contains(id)
+    }
+
+    fn candidates<'a>(
+        &self,
+        now: Time,
+        replica: &'a Replica,
+        promised: &HashMap<&MachineId, Amounts>,
+    ) -> Vec<Candidate<'a>> {
+        let mut list = Vec::new();
+        for (id, machine) in &replica.machines {
+            let record = &machine.record;
+            let block = id.block(self.config.blocks());
+            let (Some(room), Some(lease)) = (
+                replica.machine_type(&record.type_name).map(|t| t.room()),
+                replica.blocks.get(&block),
+            ) else {
+                continue;
+            };
+            if !self.usable(now, id, replica) {
+                continue;
+            }
+            let used = record.used() + promised.get(id).copied().unwrap_or_default();
+            list.push(Candidate {
+                id,
+                block,
+                fence: lease.revision,
+                holder: &lease.value.holder,
+                type_name: &record.type_name,
+                zone: &record.zone,
+                spot: record.spot,
+                room,
+                free: room - used,
+                images: machine.images.iter().map(|(i, _)| i.as_str()).collect(),
+            });
+        }
+        list
+    }
+
+    /// The machines that a job may use, best first: its placement group, then those that have
+    /// its image, then the fullest, so that others empty and can be returned.
+    fn preference(&self, id: &JobId, job: &LiveJob, candidates: &[Candidate<'_>]) -> Vec<usize> {
+        let spec = &job.spec;
+        let group: HashSet<&MachineId> = job.plan.iter().flat_map(|p| p.machines.iter()).collect();
+        let need = spec.need();
+        let mut order: Vec<(_, usize)> = candidates
+            .iter()
+            .enumerate()
+            .filter(|(_, c)| {
+                need.fits(c.free)
+                    && spec.allows(c.type_name, c.zone, c.spot)
+                    && !self.faults.failed_on(id, c.id)
+            })
+            .map(|(at, c)| {
+                let cached = c.images.contains(&spec.image.as_str());
+                let key = (
+                    !(cached && group.contains(c.id)),
+                    !cached,
+                    // Work that may be lost goes to cheap machines, what should stay goes off them.
+                    !c.spot,
+                    c.free.cpus,
+                );
+                (key, at)
+            })
+            .collect();
+        order.sort();
+        order.into_iter().map(|(_, at)| at).collect()
+    }
+
+    /// Tasks to stop so that those of a higher priority, or within a guarantee, get room.
+    fn preemptions(
+        &self,
+        replica: &Replica,
+        shortages: &[Shortage],
+        candidates: &[Candidate<'_>],
+        accounts: &Accounts<'_>,
+        within: &BTreeSet<JobId>,
+    ) -> Vec<(MachineId, Run)> {
+        let mut stops = Vec::new();
+        // Room that earlier preemptions are about to free is not asked for twice.
+        let mut coming = Amounts::default();
+        for run in self.preempted.keys() {
+            if let Some(job) = replica.jobs.get(&run.task.job) {
+                coming = coming + job.spec.need();
+            }
+        }
+        let mut gone: HashSet<Run> = self.preempted.keys().cloned().collect();
+        for shortage in shortages {
+            let Some(job) = replica.jobs.get(&shortage.job) else {
+                continue;
+            };
+            let spec = &job.spec;
+            let guaranteed = within.contains(&shortage.job);
+            for _ in 0..shortage.tasks.min(16) {
+                if shortage.need.fits(coming) && coming.cpus > 0 {
+                    coming = coming - shortage.need;
+                    continue;
+                }
+                let mut best: Option<(u64, &MachineId, Vec<Run>)> = None;
+                for c in candidates {
+                    if !spec.allows(c.type_name, c.zone, c.spot) || !shortage.need.fits(c.room) {
+                        continue;
+                    }
+                    let Some(machine) = replica.machines.get(c.id) else {
+                        continue;
+                    };
+                    let mut free = c.free;
+                    let mut victims: Vec<(Priority, Run, Amounts)> = machine
+                        .record
+                        .runs()
+                        .filter_map(|(run, placed)| {
+                            let victim = &replica.jobs.get(&run.task.job)?.spec;
+                            let lower = victim.priority < spec.priority;
+                            let over = guaranteed
+                                && victim.team != spec.team
+                                && victim.priority <= spec.priority
+                                && !within.contains(&victim.id)
+                                && accounts.beyond_guarantee(&placed.team);
+                            let fair = (lower || over)
+                                && victim.kind != Kind::Gang
+                                && !gone.contains(&run);
+                            fair.then(|| (victim.priority, run, placed.need))
+                        })
+                        .collect();
+                    // The latest starts have done the least.
+                    victims.sort_by_key(|(p, run, _)| (*p, std::cmp::Reverse(run.attempt)));
+                    let mut chosen = Vec::new();
+                    let mut cost = 0;
+                    for (_, run, need) in victims {
+                        if shortage.need.fits(free) {
+                            break;
+                        }
+                        free = free + need;
+                        cost += need.cpus;
+                        chosen.push(run);
+                    }
+                    let better = best.as_ref().is_none_or(|(b, _, _)| cost < *b);
+                    if shortage.need.fits(free) && !chosen.is_empty() && better {
+                        best = Some((cost, c.id, chosen));
+                    }
+                }
+                let Some((_, machine, chosen)) = best else {
+                    break;
+                };
+                for run in chosen {
+                    gone.insert(run.clone());
+                    stops.push((machine.clone(), run));
+                }
+            }
+        }
+        stops
+    }
+
+    /// Whether nothing is on its way to a block: then a machine that was left out of the lists
+    /// stays empty.
+    pub fn block_is_quiet(&self, block: BlockId) -> bool {
+        self.allotted.values().all(|a| a.block != block)
+    }
+
+    pub fn allotted_count(&self) -> usize {
+        self.allotted.len()
+    }
+}
+
+/// The machines among which the holder of a candidate's block chooses: the candidate first, then
+/// the block's others in the job's order. Where the job's zones depend on one another, only the
+/// leader sees them all, and the candidate stands alone.
+fn preferred(
+    candidate: &Candidate<'_>,
+    listed: &[(BlockId, MachineId)],
+    alone: bool,
+) -> Vec<MachineId> {
+    let others = listed
+        .iter()
+        .filter(|(block, id)| !alone && *block == candidate.block && id != candidate.id)
+        .map(|(_, id)| id.clone());
+    std::iter::once(candidate.id.clone())
+        .chain(others)
+        .collect()
+}
+
+/// Keeps a job's tasks in one zone, or spread over zones, as it asks.
+struct ZoneRule {
+    one: bool,
+    most: Option<u32>,
+    counts: BTreeMap<Zone, u32>,
+}
+
+impl ZoneRule {
+    fn new(job: &LiveJob, allotted: Option<&HashMap<u32, &MachineId>>, replica: &Replica) -> Self {
+        let spec = &job.spec;
+        let mut rule = Self {
+            one: spec.one_zone,
+            most: spec.spread.then(|| spec.tasks.div_ceil(2)),
+            counts: BTreeMap::new(),
+        };
+        if rule.one || rule.most.is_some() {
+            let placed = job.placed.values().map(|(machine, _)| machine);
+            let allotted = allotted.iter().flat_map(|a| a.values().copied());
+            for machine in placed.chain(allotted) {
+                if let Some(machine) = replica.machines.get(machine) {
+                    rule.add(&machine.record.zone);
+                }
+            }
+        }
+        rule
+    }
+
+    fn binds(&self) -> bool {
+        self.one || self.most.is_some()
+    }
+
+    fn admits(&self, zone: &Zone) -> bool {
+        let here = self.counts.get(zone).copied().unwrap_or(0);
+        let elsewhere = self.counts.keys().any(|z| z != zone);
+        !(self.one && elsewhere) && self.most.is_none_or(|most| here < most)
+    }
+
+    fn add(&mut self, zone: &Zone) {
+        if self.one || self.most.is_some() {
+            *self.counts.entry(zone.clone()).or_default() += 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/planning/history.rs
@@ -0,0 +1,136 @@
+//! Run times of earlier tasks of a pipeline, kept per machine type.
+
+use crate::admin::Settings;
+use crate::ids::{Pipeline, Span, TypeName};
+use crate::store::records::HistoryRecord;
+use crate::store::replica::Replica;
+use std::collections::BTreeMap;
+
+const SAMPLES: usize = 32;
+
+/// A predicted run time, and whether it rests on enough samples of its machine type.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Predicted {
+    pub seconds: f64,
+    pub sampled: bool,
+}
+
+/// The chosen percentile of the type's samples, else of all types', else the owner's estimate.
+pub fn predict(
+    history: Option<&HistoryRecord>,
+    type_name: &TypeName,
+    settings: &Settings,
+    estimate_s: f64,
+) -> Predicted {
+    let enough = settings.sample_count as usize;
+    let own = history.and_then(|h| h.types.get(type_name));
+    if let Some(samples) = own.filter(|s| s.len() >= enough) {
+        return Predicted {
+            seconds: percentile(samples.clone(), settings.percentile),
+            sampled: true,
+        };
+    }
+    let all: Vec<f32> = history
+        .iter()
+        .flat_map(|h| h.types.values().flatten().copied())
+        .collect();
+    let seconds = if all.len() >= enough {
+        percentile(all, settings.percentile)
+    } else {
+        estimate_s
+    };
+    Predicted {
+        seconds,
+        sampled: false,
+    }
+}
+
+fn percentile(mut samples: Vec<f32>, part: f64) -> f64 {
+    samples.sort_by(f32::total_cmp);
+    let last = samples.len().saturating_sub(1);
+    let at = (part * last as f64).round() as usize;
+    samples.get(at.min(last)).copied().unwrap_or(0.0).into()
+}
+
+/// Samples that the leader has not written yet: they are written in batches, since a lost one
+/// costs nothing.
+#[derive(Debug, Default)]
+pub struct History {
+    fresh: BTreeMap<Pipeline, Vec<(TypeName, Span)>>,
+}
+
+impl History {
+    pub fn add(&mut self, pipeline: &Pipeline, type_name: &TypeName, ran: Span) {
+        if self.fresh.len() < 1000 || self.fresh.contains_key(pipeline) {
+            let samples = self.fresh.entry(pipeline.clone()).or_default();
+            if samples.len() < 4 * SAMPLES {
+                samples.push((type_name.clone(), ran));
+            }
+        }
+    }
+
+    /// The next record to write, with the fresh samples merged in.
+    pub fn next(&mut self, replica: &Replica) -> Option<(Pipeline, HistoryRecord)> {
+        let (pipeline, fresh) = self.fresh.pop_first()?;
+        let mut record = replica
+            .history
+            .get(&pipeline)
+            .map(|h| h.value.clone())
+            .unwrap_or_default();
+        for (type_name, ran) in fresh {
+            let samples = record.types.entry(type_name).or_default();
+            samples.push(ran.secs() as f32);
+            let excess = samples.len().saturating_sub(SAMPLES);
+            samples.drain(..excess);
+        }
+        Some((pipeline, record))
+    }
+
+    pub fn clear(&mut self) {
+        self.fresh.clear();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn predictions_use_the_types_own_samples_then_all_then_the_estimate() {
+        let settings = Settings::default();
+        let (a, b) = (TypeName::from("a"), TypeName::from("b"));
+        let mut history = History::default();
+        for s in [10, 30, 20] {
+            history.add(&"p".into(), &a, Span(s * 1000));
+        }
+        history.add(&"p".into(), &b, Span(50_000));
+        assert_eq!(
+            predict(None, &a, &settings, 7.0),
+            Predicted {
+                seconds: 7.0,
+                sampled: false
+            }
+        );
+        let (_, record) = history.next(&Replica::default()).expect("record");
+        let on_a = predict(Some(&record), &a, &settings, 7.0);
+        assert_eq!(
+            on_a,
+            Predicted {
+                seconds: 20.0,
+                sampled: true
+            }
+        );
+        assert!(!predict(Some(&record), &b, &settings, 7.0).sampled);
+        assert!(history.next(&Replica::default()).is_none());
+    }
+
+    #[test]
+    fn samples_are_bounded() {
+        let mut history = History::default();
+        for _ in 0..10_000 {
+            history.add(&"p".into(), &"a".into(), Span(1000));
+        }
+        let (_, record) = history.next(&Replica::default()).expect("record");
+        assert_eq!(record.types[&TypeName::from("a")].len(), SAMPLES);
+    }
+}
--- /dev/null
+++ b/src/runtime/channel.rs
@@ -0,0 +1,99 @@
+//! Queues between the routines of one thread.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+
+struct Shared<T> {
+    queue: VecDeque<T>,
+    reader: Option<Waker>,
+    senders: usize,
+}
+
+/// The writing end; the channel closes when the last one is dropped.
+pub struct Sender<T>(Rc<RefCell<Shared<T>>>);
+
+/// The reading end.
+pub struct Receiver<T>(Rc<RefCell<Shared<T>>>);
+
+pub fn channel<T>() -> (Sender<T>, Receiver<T>) {
+    let shared = Rc::new(RefCell::new(Shared {
+        queue: VecDeque::new(),
+        reader: None,
+        senders: 1,
+    }));
+    (Sender(shared.clone()), Receiver(shared))
+}
+
+impl<T> Sender<T> {
+    pub fn send(&self, value: T) {
+        let mut shared = self.0.borrow_mut();
+        shared.queue.push_back(value);
+        if let Some(waker) = shared.reader.take() {
+            waker.wake();
+        }
+    }
+
+    /// How much waits unread, so that writers can keep a bound.
+    pub fn backlog(&self) -> usize {
+        self.0.borrow().queue.len()
+    }
+}
+
+impl<T> Clone for Sender<T> {
+    fn clone(&self) -> Self {
+        self.0.borrow_mut().senders += 1;
+        Self(self.0.clone())
+    }
+}
+
+impl<T> Drop for Sender<T> {
+    fn drop(&mut self) {
+        let mut shared = self.0.borrow_mut();
+        shared.senders -= 1;
+        if shared.senders == 0
+            && let Some(waker) = shared.reader.take()
+        {
+            waker.wake();
+        }
+    }
+}
+
+impl<T> Receiver<T> {
+    /// The next value, or `None` once every sender is gone.
+    pub async fn recv(&mut self) -> Option<T> {
+        poll_fn(|cx| {
+            let mut shared = self.0.borrow_mut();
+            if let Some(value) = shared.queue.pop_front() {
+                return Poll::Ready(Some(value));
+            }
+            if shared.senders == 0 {
+                return Poll::Ready(None);
+            }
+            shared.reader = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+
+    pub fn try_recv(&mut self) -> Option<T> {
+        self.0.borrow_mut().queue.pop_front()
+    }
+}
+
+/// The reading end of a channel for a single answer.
+pub struct Oneshot<T>(Receiver<T>);
+
+pub fn oneshot<T>() -> (Sender<T>, Oneshot<T>) {
+    let (tx, rx) = channel();
+    (tx, Oneshot(rx))
+}
+
+impl<T> Oneshot<T> {
+    /// The answer, or `None` if it will never come.
+    pub async fn get(mut self) -> Option<T> {
+        self.0.recv().await
+    }
+}
--- /dev/null
+++ b/src/store/keys.rs
@@ -0,0 +1,100 @@
+//! The keys under which records stand. Everything under `live/` is mirrored by every controller.
+
+use crate::ids::{BlockId, JobId, MachineId, Member, Pipeline};
+
+pub const LIVE: &str = "live/";
+pub const LEADER: &str = "live/cluster/leader";
+pub const CATALOG: &str = "live/catalog";
+pub const SETTINGS: &str = "live/settings";
+
+const MEMBER: &str = "live/cluster/member/";
+const BLOCK: &str = "live/cluster/block/";
+const JOB: &str = "live/job/";
+const PLAN: &str = "live/plan/";
+const MACHINE: &str = "live/machine/";
+const HISTORY: &str = "live/history/";
+
+pub fn member(member: &Member) -> String {
+    format!("{MEMBER}{member}")
+}
+pub fn block(block: BlockId) -> String {
+    format!("{BLOCK}{block}")
+}
+pub fn job(job: &JobId) -> String {
+    format!("{JOB}{job}")
+}
+pub fn segment(job: &JobId, segment: u32) -> String {
+    format!("{JOB}{job}/{segment}")
+}
+pub fn plan(job: &JobId) -> String {
+    format!("{PLAN}{job}")
+}
+pub fn machine(machine: &MachineId) -> String {
+    format!("{MACHINE}{machine}")
+}
+pub fn history(pipeline: &Pipeline) -> String {
+    format!("{HISTORY}{pipeline}")
+}
+/// Where a finished or cancelled job's final state is kept for good.
+pub fn over(job: &JobId) -> String {
+    format!("over/{job}")
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum LiveKey {
+    Leader,
+    Member(Member),
+    Block(BlockId),
+    Catalog,
+    Settings,
+    History(Pipeline),
+    Job(JobId),
+    Segment(JobId, u32),
+    Plan(JobId),
+    Machine(MachineId),
+}
+
+impl LiveKey {
+    pub fn parse(key: &str) -> Option<Self> {
+        match key {
+            LEADER => return Some(Self::Leader),
+            CATALOG => return Some(Self::Catalog),
+            SETTINGS => return Some(Self::Settings),
+            _ => {}
+        }
+        if let Some(rest) = key.strip_prefix(JOB) {
+            return match rest.split_once('/') {
+                None => Some(Self::Job(rest.into())),
+                Some((job, segment)) => Some(Self::Segment(job.into(), segment.parse().ok()?)),
+            };
+        }
+        let named = |prefix| key.strip_prefix(prefix);
+        named(MACHINE)
+            .map(|m| Self::Machine(m.into()))
+            .or_else(|| named(PLAN).map(|j| Self::Plan(j.into())))
+            .or_else(|| named(HISTORY).map(|p| Self::History(p.into())))
+            .or_else(|| named(MEMBER).map(|m| Self::Member(m.into())))
+            .or_else(|| named(BLOCK)?.parse().ok().map(|n| Self::Block(BlockId(n))))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn keys_read_back() {
+        let id = JobId::from("job-7");
+        assert_eq!(LiveKey::parse(&job(&id)), Some(LiveKey::Job(id.clone())));
+        assert_eq!(
+            LiveKey::parse(&segment(&id, 3)),
+            Some(LiveKey::Segment(id.clone(), 3))
+        );
+        assert_eq!(
+            LiveKey::parse(&block(BlockId(4))),
+            Some(LiveKey::Block(BlockId(4)))
+        );
+        assert_eq!(LiveKey::parse(LEADER), Some(LiveKey::Leader));
+        assert_eq!(LiveKey::parse(&over(&id)), None);
+    }
+}
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,239 @@
+//! The state service: its client, the tokens that guard its rates, and the live mirror of
+//! what it holds.
+
+pub mod keys;
+pub mod records;
+pub mod replica;
+pub mod tokens;
+
+use crate::http::{Client, Failure, Method};
+use crate::ids::{GrantId, Revision, Time};
+use crate::wire::path;
+use crate::wire::state::{
+    Events, Grant, Item, Page, Txn, TxnAnswer, extend_path, follow_path, grant_path, grant_request,
+    key_path, page_path,
+};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokens::{Bucket, Class};
+
+/// Usual answers take some ms, a few take some hundred.
+const CALL: Duration = Duration::from_millis(1500);
+/// A snapshot page is at most 512 KiB; a follow answer has no limit of its own.
+const BODY_LIMIT: usize = 8 * 1024 * 1024;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum TxnOutcome {
+    Committed(Revision),
+    /// These conditions did not hold at this revision; nothing was changed.
+    Failed(Vec<String>, Revision),
+    /// Certainly not executed.
+    Refused,
+    /// May have been executed, or may still be.
+    Unknown,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    #[error("the state service can't be reached or refuses")]
+    Unavailable,
+    #[error("no such grant, or revisions too old")]
+    Gone,
+}
+
+pub struct Store {
+    client: Client,
+    addr: SocketAddr,
+    requests: RefCell<Bucket>,
+    writes: RefCell<Bucket>,
+    started: Instant,
+    /// Calls in a row that failed: while any, only probes are worth their wait.
+    failures: Cell<u32>,
+    pub counters: Counters,
+}
+
+#[derive(Default)]
+pub struct Counters {
+    pub calls: Cell<u64>,
+    pub refused: Cell<u64>,
+    pub unknown: Cell<u64>,
+    pub held_back: Cell<u64>,
+}
+
+fn bump(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
+
+impl Store {
+    pub fn new(addr: SocketAddr, rps: f64, write_rps: f64, started: Instant) -> Self {
+        Self {
+            client: Client::new(BODY_LIMIT),
+            addr,
+            requests: RefCell::new(Bucket::new(rps)),
+            writes: RefCell::new(Bucket::new(write_rps)),
+            started,
+            failures: Cell::new(0),
+            counters: Counters::default(),
+        }
+    }
+
+    fn now(&self) -> Time {
+        Time(self.started.elapsed().as_millis() as u64)
+    }
+
+    /// Whether the last calls were answered.
+    pub fn is_up(&self) -> bool {
+        self.failures.get() < 2
+    }
+
+    pub fn levels(&self) -> (f64, f64) {
+        let now = self.now();
+        (
+            self.requests.borrow_mut().level(now),
+            self.writes.borrow_mut().level(now),
+        )
+    }
+
+    fn admit(&self, class: Class, writes: usize) -> bool {
+        let now = self.now();
+        let ok = self.requests.borrow_mut().allows(now, 1.0, class)
+            && self.writes.borrow_mut().allows(now, writes as f64, class);
+        if ok {
+            self.requests.borrow_mut().spend(1.0);
+            self.writes.borrow_mut().spend(writes as f64);
+        } else {
+            bump(&self.counters.held_back);
+        }
+        ok
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: &[u8],
+        limit: Duration,
+    ) -> Result<(u16, Vec<u8>), Failure> {
+        bump(&self.counters.calls);
+        let answer = self.client.call(self.addr, method, path, body, limit).await;
+        let answered = matches!(&answer, Ok(r) if r.status != 503 && r.status < 500);
+        self.failures.set(if answered {
+            0
+        } else {
+            self.failures.get().saturating_add(1)
+        });
+        match answer {
+            Ok(response) => {
+                if response.status == 429 {
+                    bump(&self.counters.refused);
+                    self.requests.borrow_mut().exhaust(self.now());
+                    self.writes.borrow_mut().exhaust(self.now());
+                }
+                Ok((response.status, response.body))
+            }
+            Err(failure) => {
+                bump(&self.counters.unknown);
+                Err(failure)
+            }
+        }
+    }
+
+    /// Runs a transaction if its class has a token for it.
+    pub async fn txn(&self, class: Class, txn: &Txn) -> TxnOutcome {
+        if !self.admit(class, txn.changes.len()) {
+            return TxnOutcome::Refused;
+        }
+        let body = match serde_json::to_vec(txn) {
+            Ok(body) if body.len() <= 64 * 1024 => body,
+            _ => return TxnOutcome::Refused,
+        };
+        match self.call(Method::Post, path::TXN, &body, CALL).await {
+            Ok((200, body)) => match serde_json::from_slice::<TxnAnswer>(&body) {
+                Ok(answer) => TxnOutcome::Committed(answer.revision),
+                Err(_) => TxnOutcome::Unknown,
+            },
+            Ok((409, body)) => {
+                let answer: TxnAnswer = serde_json::from_slice(&body).unwrap_or_default();
+                TxnOutcome::Failed(answer.failed, answer.revision)
+            }
+            Ok((400..=499 | 503, body)) => {
+                tracing::debug!(body = %String::from_utf8_lossy(&body), "transaction refused");
+                TxnOutcome::Refused
+            }
+            Err(Failure::NotSent) => TxnOutcome::Refused,
+            Ok(_) | Err(Failure::Unknown) => TxnOutcome::Unknown,
+        }
+    }
+
+    pub async fn get(&self, class: Class, key: &str) -> Result<Option<Item>, StoreError> {
+        if !self.admit(class, 0) {
+            return Err(StoreError::Unavailable);
+        }
+        match self.call(Method::Get, &key_path(key), b"", CALL).await {
+            Ok((200, body)) => serde_json::from_slice(&body)
+                .map(Some)
+                .map_err(|_| StoreError::Unavailable),
+            Ok((404, _)) => Ok(None),
+            _ => Err(StoreError::Unavailable),
+        }
+    }
+
+    pub async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
+        self.admit(Class::Grant, 0);
+        let path = page_path(prefix, after);
+        match self.call(Method::Get, &path, b"", 4 * CALL).await {
+            Ok((200, body)) => serde_json::from_slice(&body).map_err(|_| StoreError::Unavailable),
+            _ => Err(StoreError::Unavailable),
+        }
+    }
+
+    pub async fn follow(
+        &self,
+        prefix: &str,
+        after: Revision,
+        block: Duration,
+    ) -> Result<Events, StoreError> {
+        self.admit(Class::Grant, 0);
+        let path = follow_path(prefix, after, block.as_millis() as u64);
+        match self.call(Method::Get, &path, b"", block + CALL).await {
+            Ok((200, body)) => serde_json::from_slice(&body).map_err(|_| StoreError::Unavailable),
+            Ok((410, _)) => Err(StoreError::Gone),
+            _ => Err(StoreError::Unavailable),
+        }
+    }
+
+    pub async fn create_grant(&self, life_ms: u64) -> Result<GrantId, StoreError> {
+        self.admit(Class::Grant, 0);
+        let body = grant_request(life_ms);
+        match self.call(Method::Post, path::GRANTS, &body, CALL).await {
+            Ok((200, body)) => serde_json::from_slice::<Grant>(&body)
+                .map(|g| g.id)
+                .map_err(|_| StoreError::Unavailable),
+            _ => Err(StoreError::Unavailable),
+        }
+    }
+
+    pub async fn extend_grant(&self, grant: GrantId) -> Result<(), StoreError> {
+        self.admit(Class::Grant, 0);
+        match self
+            .call(Method::Post, &extend_path(grant), b"", CALL)
+            .await
+        {
+            Ok((200, _)) => Ok(()),
+            Ok((404, _)) => Err(StoreError::Gone),
+            _ => Err(StoreError::Unavailable),
+        }
+    }
+
+    pub async fn end_grant(&self, grant: GrantId) -> Result<(), StoreError> {
+        self.admit(Class::Grant, 0);
+        match self
+            .call(Method::Delete, &grant_path(grant), b"", CALL)
+            .await
+        {
+            Ok((200 | 204 | 404, _)) => Ok(()),
+            _ => Err(StoreError::Unavailable),
+        }
+    }
+}
--- /dev/null
+++ b/src/store/replica.rs
@@ -0,0 +1,438 @@
+//! Every controller's live mirror of the records under `live/`, in the order of their changes.
+//!
+//! Because the mirror follows one stream, whoever sees a block's new record has also seen every
+//! placement that was committed before it: a new leader or holder needs no reads of its own.
+
+use super::keys::LiveKey;
+use super::records::{
+    Bitmap, BlockRecord, HistoryRecord, JobRecord, LeaderRecord, MachineRecord, MemberRecord,
+    PlanRecord,
+};
+use crate::admin::Settings;
+use crate::ids::{
+    Attempt, BlockId, Image, JobId, MachineId, Member, Pipeline, Revision, TeamId, Wall,
+};
+use crate::wire::state::{Event, Item};
+use crate::wire::{Catalog, JobSpec, MachineType};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+/// Images remembered for a machine; which it still caches is a guess anyway.
+const IMAGES: usize = 16;
+
+#[derive(Clone, Debug)]
+pub struct Versioned<T> {
+    pub value: T,
+    pub revision: Revision,
+}
+
+#[derive(Debug)]
+pub struct LiveJob {
+    pub spec: Rc<JobSpec>,
+    pub accepted: Wall,
+    pub revision: Revision,
+    pub segments: BTreeMap<u32, Versioned<Bitmap>>,
+    pub placed: HashMap<u32, (MachineId, Attempt)>,
+    pub plan: Option<PlanRecord>,
+}
+
+impl LiveJob {
+    pub fn done_count(&self) -> u32 {
+        self.segments.values().map(|s| s.value.count()).sum()
+    }
+
+    pub fn is_done(&self, index: u32, segment_tasks: u32) -> bool {
+        self.segments
+            .get(&(index / segment_tasks))
+            .is_some_and(|s| s.value.get(index % segment_tasks))
+    }
+
+    /// Tasks that are neither done nor placed, in their order.
+    pub fn open_tasks(&self, segment_tasks: u32) -> impl Iterator<Item = u32> {
+        (0..self.spec.tasks)
+            .filter(move |i| !self.placed.contains_key(i) && !self.is_done(*i, segment_tasks))
+    }
+}
+
+#[derive(Debug)]
+pub struct LiveMachine {
+    pub record: MachineRecord,
+    pub revision: Revision,
+    /// Images that its tasks have needed, the latest last.
+    pub images: Vec<(Image, f64)>,
+}
+
+#[derive(Debug, Default)]
+pub struct Replica {
+    pub revision: Revision,
+    pub leader: Option<Versioned<LeaderRecord>>,
+    pub members: BTreeMap<Member, MemberRecord>,
+    pub blocks: BTreeMap<BlockId, Versioned<BlockRecord>>,
+    pub catalog: Option<Versioned<Catalog>>,
+    pub settings: Option<Versioned<Settings>>,
+    pub history: BTreeMap<Pipeline, Versioned<HistoryRecord>>,
+    pub jobs: BTreeMap<JobId, LiveJob>,
+    pub machines: BTreeMap<MachineId, LiveMachine>,
+    /// Records that came before the job they belong to.
+    early_segments: BTreeMap<(JobId, u32), Versioned<Bitmap>>,
+    early_plans: BTreeMap<JobId, PlanRecord>,
+}
+
+fn decode<T: DeserializeOwned>(key: &str, value: Value) -> Option<T> {
+    serde_json::from_value(value)
+        .map_err(|error| tracing::error!(key, %error, "unreadable record ignored"))
+        .ok()
+}
+
+impl Replica {
+    pub fn load(&mut self, item: Item) {
+        self.put(&item.key, item.value, item.revision);
+    }
+
+    /// Applies the next changes of the stream. Returns the ids of jobs that ended.
+    pub fn apply(&mut self, revision: Revision, events: Vec<Event>) -> Vec<JobId> {
+        let mut ended = Vec::new();
+        for event in events {
+            if let Some(key) = event.put {
+                self.put(&key, event.value, event.revision);
+            } else if let Some(key) = event.delete {
+                ended.extend(self.delete(&key, event.revision));
+            }
+        }
+        self.revision = self.revision.max(revision);
+        ended
+    }
+
+    fn put(&mut self, key: &str, value: Value, revision: Revision) {
+        let Some(live) = LiveKey::parse(key) else {
+            return;
+        };
+        macro_rules! newer {
+            ($slot:expr) => {
+                $slot.as_ref().is_none_or(|old| old.revision < revision)
+            };
+        }
+        macro_rules! single {
+            ($slot:expr) => {
+                if newer!($slot)
+                    && let Some(value) = decode(key, value)
+                {
+                    $slot = Some(Versioned { value, revision });
+                }
+            };
+        }
+        match live {
+            LiveKey::Leader => single!(self.leader),
+            LiveKey::Catalog => single!(self.catalog),
+            LiveKey::Settings => single!(self.settings),
+            LiveKey::Member(member) => {
+                if let Some(record) = decode(key, value) {
+                    self.members.insert(member, record);
+                }
+            }
+            LiveKey::Block(block) => {
+                if newer!(self.blocks.get(&block))
+                    && let Some(value) = decode(key, value)
+                {
+                    self.blocks.insert(block, Versioned { value, revision });
+                }
+            }
+            LiveKey::History(pipeline) => {
+                if let Some(value) = decode(key, value) {
+                    self.history.insert(pipeline, Versioned { value, revision });
+                }
+            }
+            LiveKey::Job(id) => {
+                if newer!(self.jobs.get(&id))
+                    && let Some(record) = decode::<JobRecord>(key, value)
+                {
+                    self.put_job(id, record, revision);
+                }
+            }
+            LiveKey::Segment(id, segment) => {
+                if let Some(value) = decode(key, value) {
+                    let versioned = Versioned { value, revision };
+                    match self.jobs.get_mut(&id) {
+                        Some(job) => job.segments.insert(segment, versioned),
+                        None => self.early_segments.insert((id, segment), versioned),
+                    };
+                }
+            }
+            LiveKey::Plan(id) => {
+                if let Some(record) = decode(key, value) {
+                    match self.jobs.get_mut(&id) {
+                        Some(job) => job.plan = Some(record),
+                        None => {
+                            self.early_plans.insert(id, record);
+                        }
+                    }
+                }
+            }
+            LiveKey::Machine(id) => {
+                if let Some(record) = decode(key, value) {
+                    self.put_machine(id, record, revision);
+                }
+            }
+        }
+    }
+
+    fn put_job(&mut self, id: JobId, record: JobRecord, revision: Revision) {
+        let mut placed = HashMap::new();
+        for (machine, live) in &self.machines {
+            for group in live.record.jobs.iter().filter(|g| g.job == id) {
+                for (index, attempt) in &group.tasks {
+                    placed.insert(*index, (machine.clone(), *attempt));
+                }
+            }
+        }
+        let first = (id.clone(), 0);
+        let last = (id.clone(), u32::MAX);
+        let early: Vec<_> = self
+            .early_segments
+            .range(first..=last)
+            .map(|(k, _)| k.clone())
+            .collect();
+        let segments = early
+            .into_iter()
+            .filter_map(|k| self.early_segments.remove(&k).map(|s| (k.1, s)))
+            .collect();
+        let job = LiveJob {
+            spec: Rc::new(record.spec),
+            accepted: record.accepted,
+            revision,
+            segments,
+            placed,
+            plan: self.early_plans.remove(&id),
+        };
+        self.jobs.insert(id, job);
+    }
+
+    /// Takes a machine's record from the stream, or from a transaction that was just committed:
+    /// the stream brings that one again, later, and is then ignored.
+    pub fn put_machine(&mut self, id: MachineId, record: MachineRecord, revision: Revision) {
+        let old = self.machines.remove(&id);
+        if let Some(old) = old {
+            if old.revision >= revision {
+                self.machines.insert(id, old);
+                return;
+            }
+            self.unplace(&id, &old.record);
+            self.place(id, record, revision, old.images);
+        } else {
+            self.place(id, record, revision, Vec::new());
+        }
+    }
+
+    fn place(
+        &mut self,
+        id: MachineId,
+        record: MachineRecord,
+        revision: Revision,
+        mut images: Vec<(Image, f64)>,
+    ) {
+        for group in &record.jobs {
+            if let Some(job) = self.jobs.get_mut(&group.job) {
+                for (index, attempt) in &group.tasks {
+                    job.placed.insert(*index, (id.clone(), *attempt));
+                }
+                images.retain(|(image, _)| *image != group.image);
+                images.push((group.image.clone(), job.spec.image_gb));
+            }
+        }
+        let excess = images.len().saturating_sub(IMAGES);
+        images.drain(..excess);
+        let machine = LiveMachine {
+            record,
+            revision,
+            images,
+        };
+        self.machines.insert(id, machine);
+    }
+
+    fn unplace(&mut self, id: &MachineId, record: &MachineRecord) {
+        for group in &record.jobs {
+            if let Some(job) = self.jobs.get_mut(&group.job) {
+                for (index, attempt) in &group.tasks {
+                    let here = job
+                        .placed
+                        .get(index)
+                        .is_some_and(|(m, a)| m == id && a == attempt);
+                    if here {
+                        job.placed.remove(index);
+                    }
+                }
+            }
+        }
+    }
+
+    fn delete(&mut self, key: &str, revision: Revision) -> Option<JobId> {
+        let older = |r: Revision| r < revision;
+        match LiveKey::parse(key)? {
+            LiveKey::Leader => self.leader = self.leader.take().filter(|l| !older(l.revision)),
+            LiveKey::Catalog => self.catalog = None,
+            LiveKey::Settings => self.settings = None,
+            LiveKey::Member(member) => {
+                self.members.remove(&member);
+            }
+            LiveKey::Block(block) => {
+                if self.blocks.get(&block).is_some_and(|b| older(b.revision)) {
+                    self.blocks.remove(&block);
+                }
+            }
+            LiveKey::History(pipeline) => {
+                self.history.remove(&pipeline);
+            }
+            LiveKey::Job(id) => {
+                if self.jobs.get(&id).is_some_and(|j| older(j.revision)) {
+                    self.jobs.remove(&id);
+                    return Some(id);
+                }
+            }
+            LiveKey::Segment(id, segment) => {
+                self.early_segments.remove(&(id.clone(), segment));
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.segments.remove(&segment);
+                }
+            }
+            LiveKey::Plan(id) => {
+                self.early_plans.remove(&id);
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.plan = None;
+                }
+            }
+            LiveKey::Machine(id) => {
+                if self.machines.get(&id).is_some_and(|m| older(m.revision))
+                    && let Some(old) = self.machines.remove(&id)
+                {
+                    self.unplace(&id, &old.record);
+                }
+            }
+        }
+        None
+    }
+
+    pub fn machine_type(&self, name: &crate::ids::TypeName) -> Option<&MachineType> {
+        let catalog = self.catalog.as_ref()?;
+        catalog.value.types.iter().find(|t| t.name == *name)
+    }
+
+    pub fn settings(&self) -> Settings {
+        self.settings
+            .as_ref()
+            .map(|s| s.value.clone())
+            .unwrap_or_default()
+    }
+
+    /// Records left behind by jobs that ended: they are cleaned up at leisure.
+    pub fn orphans(&self) -> Vec<String> {
+        let segments = self.early_segments.keys();
+        segments
+            .map(|(job, n)| super::keys::segment(job, *n))
+            .chain(self.early_plans.keys().map(super::keys::plan))
+            .take(4)
+            .collect()
+    }
+
+    /// What each team's placed tasks use, cancelled ones that are not proved gone included.
+    pub fn team_usage(&self) -> BTreeMap<TeamId, crate::ids::Amounts> {
+        let mut usage: BTreeMap<TeamId, crate::ids::Amounts> = BTreeMap::new();
+        for group in self.machines.values().flat_map(|m| &m.record.jobs) {
+            let used = group.need.times(group.tasks.len() as u64);
+            match usage.get_mut(&group.team) {
+                Some(sum) => *sum = *sum + used,
+                None => {
+                    usage.insert(group.team.clone(), used);
+                }
+            }
+        }
+        usage
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::keys;
+    use super::*;
+    use crate::ids::{Run, TaskId};
+    use serde_json::json;
+
+    fn put(key: String, value: Value, revision: u64) -> Event {
+        Event {
+            put: Some(key),
+            delete: None,
+            value,
+            revision: Revision(revision),
+        }
+    }
+
+    fn job_value(id: &str) -> Value {
+        json!({"spec": crate::wire::tests::spec(id), "accepted": 1})
+    }
+
+    #[test]
+    fn a_record_committed_here_is_not_undone_by_an_older_copy_from_the_stream() {
+        let mut replica = Replica::default();
+        let id = JobId::from("job-1");
+        replica.apply(
+            Revision(1),
+            vec![put(keys::job(&id), job_value("job-1"), 1)],
+        );
+        let spec = replica.jobs[&id].spec.clone();
+        let mut record = MachineRecord {
+            addr: "1.1.1.1:1".into(),
+            type_name: "t".into(),
+            zone: "z".into(),
+            spot: false,
+            jobs: vec![],
+        };
+        let empty = serde_json::to_value(&record).expect("json");
+        let run = Run {
+            task: TaskId {
+                job: id.clone(),
+                index: 2,
+            },
+            attempt: Attempt(9),
+        };
+        record.add(&run, &spec);
+        let machine = MachineId::from("vm-1");
+        replica.put_machine(machine.clone(), record, Revision(5));
+        replica.apply(
+            Revision(4),
+            vec![put(keys::machine(&machine), empty.clone(), 4)],
+        );
+        assert!(replica.jobs[&id].placed.contains_key(&2));
+        assert_eq!(replica.team_usage()[&TeamId::from("red")].cpus, 2000);
+        replica.apply(Revision(6), vec![put(keys::machine(&machine), empty, 6)]);
+        assert!(replica.jobs[&id].placed.is_empty());
+        assert_eq!(replica.machines[&machine].images.len(), 1);
+    }
+
+    #[test]
+    fn plans_and_counters_that_come_before_their_job_are_kept_for_it() {
+        let mut replica = Replica::default();
+        let id = JobId::from("job-1");
+        let mut bits = Bitmap::default();
+        bits.set(3);
+        replica.apply(
+            Revision(3),
+            vec![
+                put(
+                    keys::segment(&id, 0),
+                    serde_json::to_value(&bits).expect("json"),
+                    3,
+                ),
+                put(
+                    keys::plan(&id),
+                    json!({"type_name": null, "machines": [], "predicted_s": 4.0}),
+                    3,
+                ),
+                put(keys::job(&id), job_value("job-1"), 2),
+            ],
+        );
+        let job = &replica.jobs[&id];
+        assert_eq!(job.open_tasks(1024).collect::<Vec<_>>(), vec![0, 1, 2]);
+        assert!(job.plan.is_some() && replica.orphans().is_empty());
+    }
+}
--- /dev/null
+++ b/src/store/tokens.rs
@@ -0,0 +1,117 @@
+//! Token buckets with classes of use: when more is asked than the rates allow, grants and
+//! placements go on and the rest is refused at once.
+
+use crate::ids::Time;
+
+/// What a call is for; earlier classes may use what later ones must leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Class {
+    /// Grants and the mirror: never held back.
+    Grant,
+    /// Fences and placements.
+    Place,
+    /// Acceptance and withdrawal.
+    Accept,
+    Poll,
+    /// Plans, history and cleaning up.
+    Record,
+}
+
+impl Class {
+    /// The part of a full bucket that this class leaves to those before it.
+    fn reserve(self) -> f64 {
+        match self {
+            Self::Grant => f64::NEG_INFINITY,
+            Self::Place => 0.0,
+            Self::Accept => 0.15,
+            Self::Poll => 0.3,
+            Self::Record => 0.45,
+        }
+    }
+}
+
+#[derive(Debug)]
+pub struct Bucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    at: Time,
+}
+
+impl Bucket {
+    /// Holds one second's worth, as the services themselves allow.
+    pub fn new(rate: f64) -> Self {
+        let burst = rate.max(1.0);
+        Self {
+            rate,
+            burst,
+            level: burst,
+            at: Time::default(),
+        }
+    }
+
+    pub fn level(&mut self, now: Time) -> f64 {
+        self.level = (self.level + now.since(self.at).secs() * self.rate).min(self.burst);
+        self.at = now.max(self.at);
+        self.level
+    }
+
+    /// A full bucket lets any class through, however much it asks for.
+    pub fn allows(&mut self, now: Time, amount: f64, class: Class) -> bool {
+        if amount == 0.0 {
+            return true;
+        }
+        let reserve = class.reserve() * self.burst;
+        let needed = (amount + reserve).min(self.burst);
+        self.level(now) >= needed
+    }
+
+    pub fn spend(&mut self, amount: f64) {
+        self.level = (self.level - amount).max(-self.burst);
+    }
+
+    pub fn try_take(&mut self, now: Time, amount: f64, class: Class) -> bool {
+        let ok = self.allows(now, amount, class);
+        if ok {
+            self.spend(amount);
+        }
+        ok
+    }
+
+    /// The service itself said that it is too much: others use the rate as well.
+    pub fn exhaust(&mut self, now: Time) {
+        self.level = self.level(now).min(0.0);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn under_overload_grants_and_placements_go_on_and_the_rest_is_refused() {
+        let mut bucket = Bucket::new(20.0);
+        let (mut granted, mut placed, mut polled) = (0, 0, 0);
+        for ms in 0..10_000 {
+            let now = Time(ms);
+            // Polls ask fifty times the rate; placements half of it.
+            polled += u32::from(bucket.try_take(now, 1.0, Class::Poll));
+            if ms % 100 == 0 {
+                placed += u32::from(bucket.try_take(now, 1.0, Class::Place));
+            }
+            if ms % 1000 == 0 {
+                granted += u32::from(bucket.try_take(now, 1.0, Class::Grant));
+            }
+        }
+        assert_eq!((granted, placed), (10, 100));
+        assert!((80..=115).contains(&polled), "{polled}");
+    }
+
+    #[test]
+    fn a_refusal_by_the_service_empties_the_bucket() {
+        let mut bucket = Bucket::new(10.0);
+        bucket.exhaust(Time(0));
+        assert!(!bucket.try_take(Time(50), 1.0, Class::Place));
+        assert!(bucket.try_take(Time(200), 1.0, Class::Place));
+    }
+}
--- /dev/null
+++ b/src/workers/desk.rs
@@ -0,0 +1,343 @@
+//! What is known of one machine under one token, and what may be concluded from it.
+
+use crate::ids::{Revision, Run, Seq, Session, Span, Time, Token};
+use crate::peers::End;
+use crate::store::records::MachineRecord;
+use crate::wire::{JobSpec, Order, Report, TaskState, Why};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+/// How a start was sent by direct command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direct {
+    No,
+    Pending,
+    /// Answered: it was carried out then, and won't be again.
+    Settled,
+    /// No answer: it may be carried out minutes late, even after the task was forgotten.
+    Unknown,
+}
+
+/// A start that was sent under the desk's own token.
+#[derive(Clone, Copy, Debug)]
+pub struct Start {
+    pub session: Session,
+    pub direct: Direct,
+    /// The report in whose response it was sent last. Workers drop late responses, and send
+    /// their next report only after that, so a later report tells what became of it.
+    pub in_response: Option<Seq>,
+}
+
+/// What the latest report says of a placement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// Nothing certain.
+    Unclear,
+    /// Not there, and nothing that was sent can still start it.
+    Absent,
+    /// Not there, but a start without an answer may still be on its way.
+    MayAppear,
+    Alive(TaskState),
+    Exited(Why),
+}
+
+#[derive(Debug)]
+pub struct Incoming {
+    pub run: Run,
+    pub spec: Rc<JobSpec>,
+    pub job_revision: Revision,
+}
+
+/// A transaction on its way.
+#[derive(Debug)]
+pub struct PendingTxn {
+    pub record: MachineRecord,
+    pub ended: Vec<(Run, End)>,
+    pub fence: Revision,
+}
+
+#[derive(Debug)]
+pub struct Desk {
+    /// The block's revision: the machine's token.
+    pub fence: Revision,
+    pub opened: Time,
+    pub addr: String,
+    pub session: Session,
+    pub seq: Seq,
+    pub checkin_seq: Seq,
+    pub token: Token,
+    /// The latest report carried our token.
+    pub confirmed: bool,
+    /// A higher token exists: nothing more is sent until the mirror brings it.
+    pub superseded: bool,
+    pub heard: Time,
+    pub notice: Option<Time>,
+    pub listed: BTreeMap<Run, (TaskState, Option<Why>)>,
+    pub starts: BTreeMap<Run, Start>,
+    pub stops: BTreeMap<Run, (Span, Option<Time>)>,
+    pub running_since: BTreeMap<Run, Time>,
+    pub incoming: VecDeque<Incoming>,
+    /// To be refused once nothing that was sent can still place them.
+    pub rejected: Vec<Run>,
+    pub txn: Option<PendingTxn>,
+    pub retry_at: Time,
+    /// A condition failed at this revision: the mirror must get there first.
+    pub retry_revision: Revision,
+    /// A transaction under this revision of the record has no known outcome.
+    pub uncertain: Option<Revision>,
+    pub call: Option<Vec<Order>>,
+    pub next_call: Time,
+}
+
+impl Desk {
+    pub fn new(fence: Revision, addr: &str, now: Time) -> Self {
+        Self {
+            fence,
+            opened: now,
+            addr: addr.to_owned(),
+            session: Session(1),
+            seq: Seq(0),
+            checkin_seq: Seq(0),
+            token: Token(0),
+            confirmed: false,
+            superseded: false,
+            heard: now,
+            notice: None,
+            listed: BTreeMap::new(),
+            starts: BTreeMap::new(),
+            stops: BTreeMap::new(),
+            running_since: BTreeMap::new(),
+            incoming: VecDeque::new(),
+            rejected: Vec::new(),
+            txn: None,
+            retry_at: now,
+            retry_revision: Revision(0),
+            uncertain: None,
+            call: None,
+            next_call: now,
+        }
+    }
+
+    /// The block was rewritten: what was sent under the old token proves nothing any more, and
+    /// transactions under the old fence can't be applied.
+    pub fn renew(&mut self, fence: Revision, now: Time) {
+        self.fence = fence;
+        self.opened = now;
+        self.confirmed = false;
+        self.superseded = false;
+        self.starts.clear();
+        self.incoming.clear();
+        self.rejected.clear();
+        self.uncertain = None;
+        self.next_call = now;
+        self.heard = now;
+    }
+
+    pub fn token(&self) -> Token {
+        Token(self.fence.0)
+    }
+
+    /// Takes a report if it is the newest. Late ones, and those that a higher token already
+    /// governs, say nothing.
+    pub fn learn(&mut self, report: &Report, checkin: bool, now: Time) {
+        self.heard = self.heard.max(now);
+        if (report.session, report.seq) <= (self.session, self.seq) && self.seq != Seq(0) {
+            return;
+        }
+        if report.session > self.session {
+            // The worker's lease ran out: it forgot all its tasks, and starts that were sent to
+            // its earlier session are void.
+            self.checkin_seq = Seq(0);
+            self.running_since.clear();
+        }
+        self.session = report.session;
+        self.seq = report.seq;
+        self.token = report.token;
+        if checkin {
+            self.checkin_seq = report.seq;
+        }
+        self.addr.clone_from(&report.addr);
+        self.superseded = report.token > self.token();
+        self.confirmed = report.token == self.token();
+        self.notice = report.notice_s.map(|s| now + Span::from_secs(s));
+        self.listed = report
+            .tasks
+            .iter()
+            .filter_map(|t| {
+                let task = crate::ids::TaskId::parse(&t.task)?;
+                let run = Run {
+                    task,
+                    attempt: t.attempt,
+                };
+                Some((run, (t.state, t.why)))
+            })
+            .collect();
+        for (run, (state, _)) in &self.listed {
+            if *state == TaskState::Running && !self.running_since.contains_key(run) {
+                self.running_since.insert(run.clone(), now);
+            }
+        }
+        let listed = &self.listed;
+        self.running_since.retain(|run, _| listed.contains_key(run));
+        let session = self.session;
+        self.starts.retain(|_, s| s.session >= session);
+        self.stops
+            .retain(|run, _| listed.contains_key(run) || self.starts.contains_key(run));
+    }
+
+    /// What is certain about a placement. Only a report under our own token counts: no launch
+    /// of an earlier holder can take effect after it.
+    pub fn presence(&self, run: &Run) -> Presence {
+        if !self.confirmed {
+            return Presence::Unclear;
+        }
+        match self.listed.get(run) {
+            Some((TaskState::Exited, why)) => Presence::Exited(why.unwrap_or(Why::Error)),
+            Some((state, _)) => Presence::Alive(*state),
+            None => match self.starts.get(run) {
+                None => Presence::Absent,
+                Some(start) => match start.direct {
+                    Direct::Pending | Direct::Unknown => Presence::MayAppear,
+                    Direct::No | Direct::Settled => {
+                        if start.in_response.is_none_or(|seq| self.checkin_seq > seq) {
+                            Presence::Absent
+                        } else {
+                            Presence::Unclear
+                        }
+                    }
+                },
+            },
+        }
+    }
+
+    /// A direct start without an answer could start the task once more after it was forgotten.
+    pub fn may_forget(&self, run: &Run) -> bool {
+        self.confirmed
+            && self
+                .starts
+                .get(run)
+                .is_none_or(|s| matches!(s.direct, Direct::No | Direct::Settled))
+    }
+
+    /// Notes the outcome of direct starts. Another fence has forgotten them already.
+    pub fn settle(&mut self, orders: &[Order], direct: Direct) {
+        for order in orders {
+            if let Order::Start(run) = order
+                && let Some(start) = self.starts.get_mut(run)
+                && start.direct == Direct::Pending
+            {
+                start.direct = direct;
+                if direct == Direct::No && start.in_response.is_none() {
+                    self.starts.remove(run);
+                }
+            }
+        }
+    }
+
+    pub fn mark_start(&mut self, run: &Run, direct: bool) {
+        let session = self.session;
+        let start = self.starts.entry(run.clone()).or_insert(Start {
+            session,
+            direct: Direct::No,
+            in_response: None,
+        });
+        start.session = session;
+        if !direct {
+            start.in_response = Some(self.checkin_seq);
+        } else if start.direct != Direct::Unknown {
+            // An earlier one without an answer stays unanswered, whatever becomes of this one.
+            start.direct = Direct::Pending;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::ids::{Attempt, TaskId};
+    use crate::wire::TaskReport;
+
+    fn run() -> Run {
+        Run {
+            task: TaskId::parse("job-1/0").expect("task"),
+            attempt: Attempt(1),
+        }
+    }
+
+    fn report(session: u64, seq: u64, token: u64, state: Option<TaskState>) -> Report {
+        let tasks = state.into_iter().map(|state| TaskReport {
+            task: "job-1/0".into(),
+            attempt: Attempt(1),
+            state,
+            why: (state == TaskState::Exited).then_some(Why::Done),
+            saved: None,
+        });
+        Report {
+            machine: "vm-1".into(),
+            addr: "1.1.1.1:1".into(),
+            type_name: "t".into(),
+            zone: "z".into(),
+            spot: false,
+            session: Session(session),
+            seq: Seq(seq),
+            token: Token(token),
+            notice_s: None,
+            tasks: tasks.collect(),
+        }
+    }
+
+    fn desk() -> Desk {
+        let mut desk = Desk::new(Revision(7), "1.1.1.1:1", Time(0));
+        desk.learn(&report(1, 1, 7, None), true, Time(1));
+        desk
+    }
+
+    #[test]
+    fn absence_under_a_lower_token_proves_nothing() {
+        let mut desk = Desk::new(Revision(7), "1.1.1.1:1", Time(0));
+        desk.learn(&report(1, 1, 6, None), true, Time(1));
+        assert_eq!(desk.presence(&run()), Presence::Unclear);
+        desk.learn(&report(1, 2, 7, None), true, Time(2));
+        assert_eq!(desk.presence(&run()), Presence::Absent);
+    }
+
+    #[test]
+    fn a_direct_start_without_an_answer_keeps_the_task_until_token_or_session_rise() {
+        let mut desk = desk();
+        desk.mark_start(&run(), true);
+        desk.settle(&[Order::Start(run())], Direct::Unknown);
+        desk.learn(&report(1, 5, 7, None), true, Time(3));
+        assert_eq!(desk.presence(&run()), Presence::MayAppear);
+        // Sent again and answered: the first copy may still come.
+        desk.mark_start(&run(), true);
+        desk.settle(&[Order::Start(run())], Direct::Settled);
+        desk.learn(&report(1, 6, 7, Some(TaskState::Exited)), true, Time(4));
+        assert_eq!(desk.presence(&run()), Presence::Exited(Why::Done));
+        assert!(!desk.may_forget(&run()));
+        desk.renew(Revision(9), Time(5));
+        assert!(!desk.may_forget(&run()));
+        desk.learn(&report(1, 7, 9, Some(TaskState::Exited)), true, Time(6));
+        assert!(desk.may_forget(&run()));
+    }
+
+    #[test]
+    fn a_start_in_a_response_is_settled_by_the_next_report_and_not_by_a_commands_answer() {
+        let mut desk = desk();
+        desk.mark_start(&run(), false);
+        desk.learn(&report(1, 2, 7, None), false, Time(2));
+        assert_eq!(desk.presence(&run()), Presence::Unclear);
+        desk.learn(&report(1, 3, 7, None), true, Time(3));
+        assert_eq!(desk.presence(&run()), Presence::Absent);
+    }
+
+    #[test]
+    fn a_new_session_voids_what_was_sent_and_late_reports_say_nothing() {
+        let mut desk = desk();
+        desk.mark_start(&run(), true);
+        desk.settle(&[Order::Start(run())], Direct::Unknown);
+        desk.learn(&report(2, 1, 7, None), true, Time(2));
+        assert_eq!(desk.presence(&run()), Presence::Absent);
+        desk.learn(&report(1, 9, 7, Some(TaskState::Running)), true, Time(3));
+        assert_eq!(desk.presence(&run()), Presence::Absent);
+    }
+}
--- /dev/null
+++ b/src/workers/mod.rs
@@ -0,0 +1,7 @@
+//! The holder's duty: one desk for each machine of its blocks. It answers reports, commits
+//! placements under the block's fence before it starts them, and drops them only on proof.
+
+mod desk;
+mod holder;
+
+pub use holder::{CallOutcome, CheckinAnswer, Effect, Holder};
