--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -415,7 +415,7 @@
             };
             let spec = &job.spec;
             // Short tasks follow one another on the same machine.
-            let rounds = if shortage.service {
+            let rounds = if shortage.together {
                 1
             } else {
                 ((settings.rent_work_s / shortage.seconds.max(1.0)).floor() as u64).max(1)
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -13,6 +13,7 @@
         #[serde(transparent)]
         pub struct $name(Rc<str>);
 
+        #[allow(dead_code, reason = "not every kind of name is taken apart")]
         impl $name {
             pub fn as_str(&self) -> &str {
                 &self.0
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    #[cfg(test)]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
     pub fn set_grant(&mut self, grant: Option<GrantId>) {
         self.grant = grant;
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,6 +13,8 @@
 mod placement;
 mod planning;
 mod runtime;
+#[cfg(test)]
+mod sim;
 mod store;
 mod wire;
 mod workers;
--- a/src/peers/messages.rs
+++ b/src/peers/messages.rs
@@ -1,7 +1,8 @@
 //! What controllers say to one another.
 
 use crate::ids::{
-    Attempt, BlockId, Incarnation, MachineId, Member, Pipeline, Revision, Run, Span, TypeName,
+    Attempt, BlockId, Incarnation, JobId, MachineId, Member, Pipeline, Revision, Run, Span,
+    TypeName,
 };
 use crate::wire::Why;
 use serde::{Deserialize, Serialize};
@@ -69,8 +70,8 @@
     /// It has said so under the holder's own token.
     pub confirmed: bool,
     pub notice: Option<Span>,
-    /// Tasks that wait for their image or their gang.
-    pub fetching: u32,
+    /// Gangs of which a task runs here, so that a member that is lost is no longer replaced.
+    pub gangs: Vec<(JobId, Attempt)>,
 }
 
 /// Attempts are never used twice: a term's number leads them.
--- a/src/placement/accounts.rs
+++ b/src/placement/accounts.rs
@@ -45,14 +45,6 @@
             .get(team)
             .is_none_or(|t| used.cpus > t.guarantee.cpus || used.gpus > t.guarantee.gpus)
     }
-
-    /// Whether the team stays within its guarantee with this much more.
-    pub fn within_guarantee(&self, team: &TeamId, more: Amounts) -> bool {
-        let sum = self.used(team) + more;
-        self.teams
-            .get(team)
-            .is_some_and(|t| sum.cpus <= t.guarantee.cpus && sum.gpus <= t.guarantee.gpus)
-    }
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/src/placement/gangs.rs
@@ -0,0 +1,92 @@
+//! Gangs: all of their tasks are allotted under one attempt, or none is.
+
+use crate::ids::{Attempt, JobId, Span, Time};
+use crate::peers::MachineHealth;
+use crate::store::replica::LiveJob;
+use std::collections::{BTreeMap, HashMap};
+
+/// A replacement needs this much of the waiting time to be there before the others give up.
+const REPLACE_MARGIN: Span = Span(10_000);
+
+#[derive(Debug)]
+struct Launch {
+    attempt: Attempt,
+    at: Time,
+    running: bool,
+}
+
+/// What the leader has launched in its term. After a change of leaders nothing is known of a
+/// gang that stands only in part: its members are left to find out by themselves.
+#[derive(Debug, Default)]
+pub struct Gangs {
+    launches: BTreeMap<JobId, Launch>,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Launch all tasks under a new attempt.
+    Whole,
+    /// Replace what is missing of a gang that has not started yet.
+    Replace(Attempt),
+    /// Members of an attempt are still there, and it can't be completed.
+    Wait,
+}
+
+impl Gangs {
+    pub fn next(&self, now: Time, id: &JobId, job: &LiveJob, allotted: usize, wait: Span) -> Next {
+        if job.placed.is_empty() && allotted == 0 {
+            return Next::Whole;
+        }
+        match self.launches.get(id) {
+            Some(launch)
+                if !launch.running
+                    && now.since(launch.at) + REPLACE_MARGIN < wait
+                    && job.placed.values().all(|(_, a)| *a == launch.attempt) =>
+            {
+                Next::Replace(launch.attempt)
+            }
+            _ => Next::Wait,
+        }
+    }
+
+    pub fn launched(&mut self, now: Time, id: &JobId, attempt: Attempt) {
+        let launch = Launch {
+            attempt,
+            at: now,
+            running: false,
+        };
+        self.launches.insert(id.clone(), launch);
+    }
+
+    pub fn on_health(&mut self, health: &MachineHealth) {
+        for (job, attempt) in &health.gangs {
+            if let Some(launch) = self.launches.get_mut(job)
+                && launch.attempt == *attempt
+            {
+                launch.running = true;
+            }
+        }
+    }
+
+    /// A member ended by itself: nothing is added to this attempt any more.
+    pub fn on_ended(&mut self, job: &JobId) {
+        if let Some(launch) = self.launches.get_mut(job) {
+            launch.running = true;
+        }
+    }
+
+    pub fn retain(&mut self, jobs: &BTreeMap<JobId, LiveJob>) {
+        self.launches.retain(|id, _| jobs.contains_key(id));
+    }
+
+    pub fn clear(&mut self) {
+        self.launches.clear();
+    }
+}
+
+/// The tasks of a gang that are neither placed nor allotted.
+pub fn missing<M>(job: &LiveJob, allotted: Option<&HashMap<u32, M>>) -> Vec<u32> {
+    (0..job.spec.tasks)
+        .filter(|i| !job.placed.contains_key(i) && allotted.is_none_or(|a| !a.contains_key(i)))
+        .collect()
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -3,6 +3,7 @@
 
 mod accounts;
 mod faults;
+mod gangs;
 mod order;
 mod scheduler;
 
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -3,16 +3,18 @@
 
 use super::accounts::Accounts;
 use super::faults::Faults;
+use super::gangs::{Gangs, Next, missing};
 use super::order::{guaranteed, rank};
 use crate::config::Config;
 use crate::ids::{
-    Amounts, BlockId, JobId, MachineId, Member, Revision, Run, Span, TaskId, TeamId, Time,
+    Amounts, Attempt, BlockId, JobId, MachineId, Member, Revision, Run, Span, TaskId, TeamId, Time,
     TypeName, Zone,
 };
 use crate::peers::{Allotment, End, Ended, MachineHealth, Message, attempt};
 use crate::store::replica::{LiveJob, Replica};
 use crate::wire::{Kind, Priority, Why};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::rc::Rc;
 
 #[derive(Debug)]
 pub enum Effect {
@@ -29,7 +31,8 @@
     pub tasks: u64,
     pub seconds: f64,
     pub priority: Priority,
-    pub service: bool,
+    /// All tasks at the same time: a service or a gang.
+    pub together: bool,
 }
 
 /// An allotment without an answer for so long is voided by rewriting its block.
@@ -50,6 +53,29 @@
     at: Time,
 }
 
+/// Numbers of attempts: never used twice, since a term's number leads them.
+#[derive(Default)]
+struct Attempts {
+    term: Revision,
+    counter: u64,
+}
+
+impl Attempts {
+    fn next(&mut self) -> Attempt {
+        self.counter += 1;
+        attempt(self.term, self.counter)
+    }
+}
+
+/// An allotment on its way out, with what it is booked under.
+struct Outgoing {
+    holder: Member,
+    machine: MachineId,
+    team: TeamId,
+    need: Amounts,
+    allotment: Allotment,
+}
+
 /// What the holder of a machine last said of it.
 #[derive(Clone, Debug)]
 pub struct Health {
@@ -58,12 +84,12 @@
 }
 
 pub struct Scheduler {
-    config: Config,
-    term: Revision,
-    counter: u64,
+    config: Rc<Config>,
+    attempts: Attempts,
     allotted: HashMap<Run, Allotted>,
     pub health: BTreeMap<MachineId, Health>,
     pub faults: Faults,
+    gangs: Gangs,
     preempted: HashMap<Run, Time>,
     renewed: BTreeMap<BlockId, Time>,
     pub shortages: Vec<Shortage>,
@@ -88,12 +114,12 @@
 impl Scheduler {
     pub fn new(config: &Config) -> Self {
         Self {
-            config: config.clone(),
-            term: Revision(0),
-            counter: 0,
+            config: Rc::new(config.clone()),
+            attempts: Attempts::default(),
             allotted: HashMap::new(),
             health: BTreeMap::new(),
             faults: Faults::default(),
+            gangs: Gangs::default(),
             preempted: HashMap::new(),
             renewed: BTreeMap::new(),
             shortages: Vec::new(),
@@ -103,6 +129,7 @@
 
     pub fn on_health(&mut self, now: Time, health: Vec<MachineHealth>) {
         for last in health {
+            self.gangs.on_health(&last);
             self.health
                 .insert(last.machine.clone(), Health { at: now, last });
         }
@@ -120,6 +147,9 @@
         self.allotted.remove(&ended.run);
         self.preempted.remove(&ended.run);
         let job = &ended.run.task.job;
+        if !matches!(ended.end, End::Absent) {
+            self.gangs.on_ended(job);
+        }
         match ended.end {
             End::Done => self.faults.succeeded(job, &ended.machine),
             End::Exited(Why::Error) => self.faults.failed(now, job, &ended.machine),
@@ -130,12 +160,12 @@
     /// Another term: what was allotted in an earlier one failed at the blocks' fences, or is in
     /// the mirror.
     fn enter(&mut self, term: Revision) {
-        if self.term != term {
-            self.term = term;
-            self.counter = 0;
+        if self.attempts.term != term {
+            self.attempts = Attempts { term, counter: 0 };
             self.allotted.clear();
             self.preempted.clear();
             self.faults.clear();
+            self.gangs.clear();
             self.leaving.clear();
         }
     }
@@ -143,7 +173,8 @@
     pub fn drive(&mut self, now: Time, term: Revision, replica: &Replica, out: &mut Vec<Effect>) {
         self.enter(term);
         self.settle(now, replica, out);
-        let mut accounts = Accounts::new(&self.config.teams, replica.team_usage());
+        let config = self.config.clone();
+        let mut accounts = Accounts::new(&config.teams, replica.team_usage());
         let mut promised: HashMap<&MachineId, Amounts> = HashMap::new();
         let mut taken: HashMap<&JobId, HashMap<u32, &MachineId>> = HashMap::new();
         for (run, a) in &self.allotted {
@@ -160,39 +191,55 @@
             .jobs
             .iter()
             .filter(|(id, job)| {
-                job.spec.kind != Kind::Gang
-                    && !self.faults.paused(now, id)
+                !self.faults.paused(now, id)
                     && job.done_count() + (job.placed.len() as u32) < job.spec.tasks
             })
             .collect();
         waiting.sort_by_cached_key(|(id, job)| rank(id, job, within.contains(*id)));
         let mut shortages = Vec::new();
-        let mut allotments: Vec<(Member, Allotment, Vec<(MachineId, TeamId, Amounts)>)> =
-            Vec::new();
+        let mut allotments: Vec<Outgoing> = Vec::new();
         for (id, job) in waiting {
             let spec = &job.spec;
             let need = spec.need();
             let already = taken.get(id);
-            let mut allowed = accounts.allows(&spec.team, need).min(BATCH as u64) as usize;
-            if let Some(trial) = self.faults.trial(id) {
-                let going = job.placed.len() + already.map_or(0, HashMap::len);
-                allowed = allowed.min(trial.saturating_sub(going));
-            }
-            let open: Vec<u32> = job
-                .open_tasks(segment_tasks)
-                .filter(|i| already.is_none_or(|a| !a.contains_key(i)))
-                .take(allowed)
-                .collect();
+            let gang = spec.kind == Kind::Gang;
+            let room = accounts.allows(&spec.team, need);
+            let (open, fixed) = if gang {
+                let open = missing(job, already);
+                let going = already.map_or(0, HashMap::len);
+                let next = self.gangs.next(now, id, job, going, self.config.gang_wait);
+                if next == Next::Wait || open.len() as u64 > room {
+                    continue;
+                }
+                let fixed = match next {
+                    Next::Replace(attempt) => attempt,
+                    _ => self.attempts.next(),
+                };
+                (open, Some(fixed))
+            } else {
+                let mut allowed = room.min(BATCH as u64) as usize;
+                if let Some(trial) = self.faults.trial(id) {
+                    let going = job.placed.len() + already.map_or(0, HashMap::len);
+                    allowed = allowed.min(trial.saturating_sub(going));
+                }
+                let open = job
+                    .open_tasks(segment_tasks)
+                    .filter(|i| already.is_none_or(|a| !a.contains_key(i)))
+                    .take(allowed);
+                (open.collect::<Vec<u32>>(), None)
+            };
             if open.is_empty() {
                 continue;
             }
+            let before: Vec<Amounts> = candidates.iter().map(|c| c.free).collect();
             let mut zones = ZoneRule::new(job, already, replica);
-            let order = self.preference(id, job, &candidates);
+            let order = self.preference(id, job, &zones, &candidates);
             let mut open = open.into_iter().peekable();
             let listed: Vec<(BlockId, MachineId)> = order
                 .iter()
                 .map(|at| (candidates[*at].block, candidates[*at].id.clone()))
                 .collect();
+            let mut batch = Vec::new();
             for at in order {
                 let candidate = &mut candidates[at];
                 let mut runs = Vec::new();
@@ -203,20 +250,16 @@
                     let Some(index) = open.next() else { break };
                     zones.add(candidate.zone);
                     candidate.free = candidate.free - need;
-                    accounts.charge(&spec.team, need);
-                    self.counter += 1;
-                    runs.push(Run {
-                        task: TaskId {
-                            job: id.clone(),
-                            index,
-                        },
-                        attempt: attempt(term, self.counter),
-                    });
+                    let task = TaskId {
+                        job: id.clone(),
+                        index,
+                    };
+                    let attempt = fixed.unwrap_or_else(|| self.attempts.next());
+                    runs.push(Run { task, attempt });
                 }
                 if runs.is_empty() {
                     continue;
                 }
-                let notes = vec![(candidate.id.clone(), spec.team.clone(), need); runs.len()];
                 let allotment = Allotment {
                     block: candidate.block,
                     fence: candidate.fence,
@@ -224,7 +267,13 @@
                     runs,
                     preferred: preferred(candidate, &listed, zones.binds()),
                 };
-                allotments.push((candidate.holder.clone(), allotment, notes));
+                batch.push(Outgoing {
+                    holder: candidate.holder.clone(),
+                    machine: candidate.id.clone(),
+                    team: spec.team.clone(),
+                    need,
+                    allotment,
+                });
                 if open.peek().is_none() {
                     break;
                 }
@@ -237,9 +286,26 @@
                     tasks: left,
                     seconds: job.plan.as_ref().map_or(spec.estimate_s, |p| p.predicted_s),
                     priority: spec.priority,
-                    service: spec.kind == Kind::Service,
+                    together: spec.kind != Kind::Array,
                 });
             }
+            if left > 0 && gang {
+                // All or none: what was found goes back.
+                for (candidate, free) in candidates.iter_mut().zip(before) {
+                    candidate.free = free;
+                }
+                continue;
+            }
+            if let Some(attempt) = fixed
+                && job.placed.is_empty()
+            {
+                self.gangs.launched(now, id, attempt);
+            }
+            for outgoing in batch {
+                let count = outgoing.allotment.runs.len() as u64;
+                accounts.charge(&spec.team, need.times(count));
+                allotments.push(outgoing);
+            }
         }
         let stops = self.preemptions(replica, &shortages, &candidates, &accounts, &within);
         drop(candidates);
@@ -260,19 +326,20 @@
             };
             out.push(Effect::ToHolder(record.value.holder.clone(), message));
         }
-        for (holder, allotment, notes) in allotments {
-            for (run, (machine, team, need)) in allotment.runs.iter().zip(notes) {
+        for outgoing in allotments {
+            let allotment = outgoing.allotment;
+            for run in &allotment.runs {
                 let note = Allotted {
                     block: allotment.block,
                     fence: allotment.fence,
-                    machine,
-                    team,
-                    need,
+                    machine: outgoing.machine.clone(),
+                    team: outgoing.team.clone(),
+                    need: outgoing.need,
                     at: now,
                 };
                 self.allotted.insert(run.clone(), note);
             }
-            out.push(Effect::ToHolder(holder, Message::Allot(allotment)));
+            out.push(Effect::ToHolder(outgoing.holder, Message::Allot(allotment)));
         }
         self.shortages = shortages;
     }
@@ -310,6 +377,7 @@
         self.preempted.retain(|_, at| now.since(*at) < PREEMPT);
         self.health
             .retain(|id, _| replica.machines.contains_key(id));
+        self.gangs.retain(&replica.jobs);
         self.faults.retain(
             |job| replica.jobs.contains_key(job),
             |machine| replica.machines.contains_key(machine),
@@ -369,8 +437,15 @@
 
     /// The machines that a job may use, best first: its placement group, then those that have
     /// its image, then the fullest, so that others empty and can be returned.
-    fn preference(&self, id: &JobId, job: &LiveJob, candidates: &[Candidate<'_>]) -> Vec<usize> {
+    fn preference(
+        &self,
+        id: &JobId,
+        job: &LiveJob,
+        zones: &ZoneRule,
+        candidates: &[Candidate<'_>],
+    ) -> Vec<usize> {
         let spec = &job.spec;
+        let zone = zones.choose(spec.need(), candidates);
         let group: HashSet<&MachineId> = job.plan.iter().flat_map(|p| p.machines.iter()).collect();
         let need = spec.need();
         let mut order: Vec<(_, usize)> = candidates
@@ -380,6 +455,7 @@
                 need.fits(c.free)
                     && spec.allows(c.type_name, c.zone, c.spot)
                     && !self.faults.failed_on(id, c.id)
+                    && zone.as_ref().is_none_or(|z| z == c.zone)
             })
             .map(|(at, c)| {
                 let cached = c.images.contains(&spec.image.as_str());
@@ -446,9 +522,7 @@
                                 && victim.priority <= spec.priority
                                 && !within.contains(&victim.id)
                                 && accounts.beyond_guarantee(&placed.team);
-                            let fair = (lower || over)
-                                && victim.kind != Kind::Gang
-                                && !gone.contains(&run);
+                            let fair = (lower || over) && !gone.contains(&run);
                             fair.then(|| (victim.priority, run, placed.need))
                         })
                         .collect();
@@ -473,8 +547,7 @@
                     break;
                 };
                 for run in chosen {
-                    gone.insert(run.clone());
-                    stops.push((machine.clone(), run));
+                    stop_whole(&run, machine, replica, &mut gone, &mut stops);
                 }
             }
         }
@@ -492,6 +565,38 @@
     }
 }
 
+/// Stops a task, and with a task of a gang all of them: they can only save together.
+fn stop_whole(
+    run: &Run,
+    machine: &MachineId,
+    replica: &Replica,
+    gone: &mut HashSet<Run>,
+    stops: &mut Vec<(MachineId, Run)>,
+) {
+    let gang = replica
+        .jobs
+        .get(&run.task.job)
+        .filter(|j| j.spec.kind == Kind::Gang);
+    let mut add = |machine: &MachineId, run: Run| {
+        if gone.insert(run.clone()) {
+            stops.push((machine.clone(), run));
+        }
+    };
+    match gang {
+        None => add(machine, run.clone()),
+        Some(job) => {
+            for (index, (machine, attempt)) in &job.placed {
+                let task = TaskId {
+                    job: run.task.job.clone(),
+                    index: *index,
+                };
+                let attempt = *attempt;
+                add(machine, Run { task, attempt });
+            }
+        }
+    }
+}
+
 /// The machines among which the holder of a candidate's block chooses: the candidate first, then
 /// the block's others in the job's order. Where the job's zones depend on one another, only the
 /// leader sees them all, and the candidate stands alone.
@@ -536,6 +641,24 @@
         rule
     }
 
+    /// Where a job that must stay in one zone goes: to its other tasks, else to the zone with
+    /// room for the most.
+    fn choose(&self, need: Amounts, candidates: &[Candidate<'_>]) -> Option<Zone> {
+        if !self.one {
+            return None;
+        }
+        if let Some(zone) = self.counts.keys().next() {
+            return Some(zone.clone());
+        }
+        let mut room: BTreeMap<&Zone, u64> = BTreeMap::new();
+        for c in candidates {
+            let sum = room.entry(c.zone).or_default();
+            *sum = sum.saturating_add(need.count_in(c.free));
+        }
+        let most = room.into_iter().max_by_key(|(_, n)| *n);
+        most.map(|(zone, _)| zone.clone())
+    }
+
     fn binds(&self) -> bool {
         self.one || self.most.is_some()
     }
--- a/src/runtime/net.rs
+++ b/src/runtime/net.rs
@@ -155,6 +155,7 @@
         })
     }
 
+    #[cfg(test)]
     pub fn local_addr(&self) -> io::Result<SocketAddr> {
         self.socket.local_addr()
     }
--- /dev/null
+++ b/src/sim/world.rs
@@ -0,0 +1,923 @@
+//! Simulated time, the network between the parts, the troubles, and the checks.
+
+use super::outside::{StoreModel, Worker};
+use crate::cloud::RentOutcome;
+use crate::config::Config;
+use crate::config::tests::sample_config;
+use crate::controller::{Controller, Effect, TxnOwner};
+use crate::ids::{
+    GrantId, Incarnation, JobId, MachineId, Member, Revision, Run, Session, Time, Token,
+};
+use crate::peers::Message;
+use crate::store::records::{JobRecord, MemberRecord, OverRecord};
+use crate::store::{TxnOutcome, keys};
+use crate::wire::state::Txn;
+use crate::wire::{
+    Catalog, JobSpec, JobState, Kind, ListedMachine, MachineState, Order, Report, TaskState, Why,
+};
+use crate::workers::{CallOutcome, CheckinAnswer};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::json;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Trouble {
+    pub crashes: bool,
+    pub lost_answers: bool,
+    pub machines: bool,
+    pub store_cuts: bool,
+}
+
+/// A guard that is deliberately missing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Breakage {
+    None,
+    /// A command without an answer counts as never sent.
+    LostCallsUnsent,
+    /// The cloud's answer to a deletion is not waited for.
+    DeletionsTakenOnTrust,
+    /// The store does not check the fences of blocks and machines.
+    FencesIgnored,
+}
+
+enum What {
+    Tick(usize),
+    Watch(usize),
+    Extend(usize),
+    Txn(usize, u64, TxnOwner, Txn, bool),
+    TxnDone(usize, u64, TxnOwner, TxnOutcome),
+    Call(usize, u64, MachineId, Token, Session, Vec<Order>, u32),
+    CallDone(usize, u64, MachineId, Token, CallOutcome),
+    Peer(usize, Message),
+    Worker(MachineId),
+    Checkin(usize, MachineId, u64, Report),
+    Answer(MachineId, u64, Token, Vec<Order>),
+    Redirect(MachineId, u64, Option<usize>),
+    Cloud(usize, u64, Effect),
+    Boot(MachineId),
+    Start(usize),
+    Trouble,
+    User,
+    Gangs,
+}
+
+struct Entry(Time, u64, What);
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Self) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Entry {}
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+struct Node {
+    config: Config,
+    controller: Option<Controller>,
+    /// Rises with each end, so that what belongs to an earlier life is dropped.
+    life: u64,
+    position: Revision,
+    grant: Option<GrantId>,
+    old_grant: Option<GrantId>,
+    store_cut_until: Time,
+}
+
+pub struct World {
+    now: Time,
+    order: u64,
+    queue: BinaryHeap<Reverse<Entry>>,
+    rng: StdRng,
+    trouble: Trouble,
+    breakage: Breakage,
+    store: StoreModel,
+    nodes: Vec<Node>,
+    workers: BTreeMap<MachineId, Worker>,
+    rented: BTreeMap<String, Vec<MachineId>>,
+    next_machine: u64,
+    jobs: BTreeMap<JobId, JobSpec>,
+    done_runs: BTreeMap<JobId, BTreeSet<u32>>,
+    cancelled: BTreeMap<JobId, Time>,
+    over_seen: BTreeMap<JobId, JobState>,
+    healed: bool,
+    pub broken: Vec<String>,
+    pub starts: u64,
+}
+
+const MEMBERS: [&str; 3] = ["c0", "c1", "c2"];
+const LEASE: u64 = 16_000;
+const CANCEL: u64 = 30_000;
+
+impl World {
+    pub fn new(seed: u64, trouble: Trouble, breakage: Breakage) -> Self {
+        let nodes = (0..3).map(|i| {
+            let mut config = sample_config();
+            config.member = MEMBERS[i].into();
+            Node {
+                config,
+                controller: None,
+                life: 0,
+                position: Revision(0),
+                grant: None,
+                old_grant: None,
+                store_cut_until: Time(0),
+            }
+        });
+        let mut world = Self {
+            now: Time(0),
+            order: 0,
+            queue: BinaryHeap::new(),
+            rng: StdRng::seed_from_u64(seed),
+            trouble,
+            breakage,
+            store: StoreModel {
+                ignore_fences: breakage == Breakage::FencesIgnored,
+                ..StoreModel::default()
+            },
+            nodes: nodes.collect(),
+            workers: BTreeMap::new(),
+            rented: BTreeMap::new(),
+            next_machine: 0,
+            jobs: BTreeMap::new(),
+            done_runs: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
+            over_seen: BTreeMap::new(),
+            healed: false,
+            broken: Vec::new(),
+            starts: 0,
+        };
+        for _ in 0..4 {
+            let id = world.new_machine(false);
+            world.after(0, What::Boot(id));
+        }
+        for node in 0..3 {
+            world.after(10 * node as u64, What::Start(node));
+        }
+        world.after(3000, What::User);
+        world.after(500, What::Gangs);
+        world.after(8000, What::Trouble);
+        world
+    }
+
+    fn after(&mut self, ms: u64, what: What) {
+        self.order += 1;
+        self.queue
+            .push(Reverse(Entry(Time(self.now.0 + ms), self.order, what)));
+    }
+
+    fn pick(&mut self, from: u64, to: u64) -> u64 {
+        self.rng.random_range(from..=to)
+    }
+
+    fn chance(&mut self, percent: u64) -> bool {
+        self.pick(1, 100) <= percent
+    }
+
+    pub fn run(&mut self, until: u64) {
+        while let Some(Reverse(entry)) = self.queue.pop() {
+            if entry.0.0 > until {
+                self.queue.push(Reverse(entry));
+                return;
+            }
+            self.now = entry.0;
+            self.store.expire(self.now);
+            self.happen(entry.2);
+        }
+    }
+
+    /// Ends all troubles, so that what remains must finish.
+    pub fn heal(&mut self) {
+        self.healed = true;
+        self.trouble = Trouble::default();
+        for node in &mut self.nodes {
+            node.store_cut_until = self.now;
+        }
+        for worker in self.workers.values_mut() {
+            worker.cut_until = self.now;
+            worker.hang_until = self.now;
+        }
+    }
+
+    pub fn unfinished(&self) -> Vec<&JobId> {
+        let ended = |id: &JobId| self.store.keys.contains_key(&keys::over(id));
+        let arrays = self.jobs.iter().filter(|(_, s)| s.kind != Kind::Service);
+        arrays.map(|(id, _)| id).filter(|id| !ended(id)).collect()
+    }
+
+    fn new_machine(&mut self, spot: bool) -> MachineId {
+        self.next_machine += 1;
+        let id = MachineId::from(format!("vm-{:04}", self.next_machine).as_str());
+        let worker = Worker {
+            spot,
+            zone: if self.next_machine.is_multiple_of(2) {
+                "a"
+            } else {
+                "b"
+            },
+            session: Session(1),
+            seq: crate::ids::Seq(0),
+            token: Token(0),
+            tasks: BTreeMap::new(),
+            node: (self.next_machine % 3) as usize,
+            answered: self.now,
+            next_report: self.now,
+            awaiting: None,
+            cut_until: Time(0),
+            hang_until: Time(0),
+            dead: true,
+        };
+        self.workers.insert(id.clone(), worker);
+        id
+    }
+
+    fn happen(&mut self, what: What) {
+        match what {
+            What::Start(node) => self.start(node),
+            What::Tick(node) => {
+                let now = self.now;
+                if let Some(c) = self.nodes[node].controller.as_mut() {
+                    let effects = c.tick(now);
+                    self.carry_out(node, effects);
+                    self.after(25, What::Tick(node));
+                }
+            }
+            What::Watch(node) => self.watch(node),
+            What::Extend(node) => self.extend(node),
+            What::Txn(node, life, owner, txn, answered) => {
+                let cut = self.nodes[node].store_cut_until > self.now;
+                let outcome = if cut && answered {
+                    TxnOutcome::Refused
+                } else {
+                    self.store.txn(&txn)
+                };
+                self.check_over();
+                if answered {
+                    let ms = self.pick(1, 4);
+                    self.after(ms, What::TxnDone(node, life, owner, outcome));
+                }
+            }
+            What::TxnDone(node, life, owner, outcome) => {
+                let now = self.now;
+                self.with(node, life, |c| c.on_txn(now, &owner, &outcome));
+            }
+            What::Call(node, life, id, token, session, orders, tries) => {
+                self.call(node, life, id, token, session, orders, tries);
+            }
+            What::CallDone(node, life, id, token, outcome) => {
+                let now = self.now;
+                self.with(node, life, |c| c.on_call(now, &id, token, outcome));
+            }
+            What::Peer(node, message) => {
+                let (now, life) = (self.now, self.nodes[node].life);
+                self.with(node, life, |c| c.on_peer(now, message));
+            }
+            What::Worker(id) => self.work(&id),
+            What::Checkin(node, id, ticket, report) => self.checkin(node, id, ticket, report),
+            What::Answer(id, ticket, token, orders) => self.answer(&id, ticket, token, &orders),
+            What::Redirect(id, ticket, to) => {
+                if let Some(w) = self.workers.get_mut(&id)
+                    && w.awaiting.is_some_and(|(t, _)| t == ticket)
+                {
+                    w.awaiting = None;
+                    match to {
+                        Some(to) if to != w.node => {
+                            w.node = to;
+                            w.next_report = self.now;
+                        }
+                        _ => {
+                            w.node = (w.node + 1) % 3;
+                            w.next_report = Time(self.now.0 + 1000);
+                        }
+                    }
+                }
+            }
+            What::Cloud(node, life, effect) => self.cloud(node, life, effect),
+            What::Boot(id) => {
+                if let Some(w) = self.workers.get_mut(&id) {
+                    w.dead = false;
+                    w.answered = self.now;
+                    self.after(0, What::Worker(id));
+                }
+            }
+            What::Trouble => self.make_trouble(),
+            What::User => self.user(),
+            What::Gangs => self.gangs(),
+        }
+    }
+
+    fn with(&mut self, node: usize, life: u64, f: impl FnOnce(&mut Controller) -> Vec<Effect>) {
+        if self.nodes[node].life == life
+            && let Some(controller) = self.nodes[node].controller.as_mut()
+        {
+            let effects = f(controller);
+            self.carry_out(node, effects);
+        }
+    }
+
+    fn start(&mut self, node: usize) {
+        let incarnation = Incarnation(self.pick(1, 1 << 40));
+        let n = &mut self.nodes[node];
+        n.life += 1;
+        n.position = Revision(0);
+        let mut controller = Controller::new(&n.config, incarnation);
+        let effects = controller.on_snapshot(self.now, self.store.snapshot());
+        n.position = self.store.revision;
+        n.controller = Some(controller);
+        n.old_grant = n.grant.take();
+        self.carry_out(node, effects);
+        self.enter(node, incarnation);
+        self.after(1, What::Tick(node));
+        self.after(2, What::Watch(node));
+        self.after(1500, What::Extend(node));
+    }
+
+    /// Ends the earlier life's grant and takes a new one.
+    fn enter(&mut self, node: usize, incarnation: Incarnation) {
+        if let Some(old) = self.nodes[node].old_grant.take() {
+            self.store.end_grant(old);
+        }
+        let grant = self.store.create_grant(Time(self.now.0 + 5000));
+        let member = Member::from(MEMBERS[node]);
+        let mut txn = Txn::default();
+        txn.put(
+            keys::member(&member),
+            &MemberRecord { incarnation, grant },
+            Some(grant),
+        );
+        self.store.txn(&txn);
+        self.nodes[node].grant = Some(grant);
+        let (now, life) = (self.now, self.nodes[node].life);
+        self.with(node, life, |c| c.set_grant(now, Some(grant)));
+    }
+
+    fn extend(&mut self, node: usize) {
+        if self.nodes[node].controller.is_none() {
+            return;
+        }
+        if self.nodes[node].store_cut_until <= self.now
+            && let Some(grant) = self.nodes[node].grant
+        {
+            if let Some(until) = self.store.grants.get_mut(&grant) {
+                *until = Time(self.now.0 + 5000);
+            } else if let Some(c) = &self.nodes[node].controller {
+                let incarnation = c.leadership.incarnation();
+                self.enter(node, incarnation);
+            }
+        }
+        self.after(1500, What::Extend(node));
+    }
+
+    fn watch(&mut self, node: usize) {
+        if self.nodes[node].controller.is_none() {
+            return;
+        }
+        if self.nodes[node].store_cut_until <= self.now {
+            let events = self.store.events(self.nodes[node].position);
+            let revision = self.store.revision;
+            self.nodes[node].position = revision;
+            if !events.is_empty() {
+                let (now, life) = (self.now, self.nodes[node].life);
+                self.with(node, life, |c| c.on_events(now, revision, events).0);
+            }
+        }
+        let ms = self.pick(2, 12);
+        self.after(ms, What::Watch(node));
+    }
+
+    fn carry_out(&mut self, node: usize, effects: Vec<Effect>) {
+        let life = self.nodes[node].life;
+        for effect in effects {
+            match effect {
+                Effect::Txn { owner, txn, .. } => {
+                    let lost = self.trouble.lost_answers && self.chance(12);
+                    let ms = if lost {
+                        self.pick(1, 20_000)
+                    } else {
+                        self.pick(1, 5)
+                    };
+                    if lost {
+                        let done = What::TxnDone(node, life, owner.clone(), TxnOutcome::Unknown);
+                        self.after(1500, done);
+                    }
+                    self.after(ms, What::Txn(node, life, owner, txn, !lost));
+                }
+                Effect::Call {
+                    machine,
+                    token,
+                    session,
+                    orders,
+                    ..
+                } => {
+                    let ms = self.pick(1, 5);
+                    self.after(
+                        ms,
+                        What::Call(node, life, machine, token, session, orders, 0),
+                    );
+                }
+                Effect::Peer(member, message) => {
+                    let to = MEMBERS
+                        .iter()
+                        .position(|m| *m == member.as_str())
+                        .unwrap_or(0);
+                    if !(self.trouble.lost_answers && self.chance(5)) {
+                        let ms = self.pick(1, 5);
+                        self.after(ms, What::Peer(to, message));
+                    }
+                }
+                effect => {
+                    let ms = self.pick(50, 200);
+                    self.after(ms, What::Cloud(node, life, effect));
+                }
+            }
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
+    fn call(
+        &mut self,
+        node: usize,
+        life: u64,
+        id: MachineId,
+        token: Token,
+        session: Session,
+        orders: Vec<Order>,
+        tries: u32,
+    ) {
+        let now = self.now;
+        let lost = self.trouble.lost_answers && self.chance(10);
+        let unanswered = match self.breakage {
+            Breakage::LostCallsUnsent => CallOutcome::NotSent,
+            _ => CallOutcome::Unknown,
+        };
+        let Some(worker) = self.workers.get_mut(&id).filter(|w| !w.dead) else {
+            if tries == 0 {
+                self.after(1500, What::CallDone(node, life, id, token, unanswered));
+            }
+            return;
+        };
+        let silent = worker.cut_until.max(worker.hang_until);
+        if silent > now || (lost && tries == 0) {
+            // Held, and carried out when the machine goes on, long after the sender gave up.
+            if tries == 0 {
+                let done = What::CallDone(node, life, id.clone(), token, unanswered);
+                self.after(1500, done);
+            }
+            let wait = silent.since(now).0.max(if lost { 15_000 } else { 0 }) + 3;
+            self.after(
+                wait,
+                What::Call(node, life, id, token, session, orders, tries + 1),
+            );
+            return;
+        }
+        let ok = token >= worker.token && session == worker.session;
+        let mut launched = Vec::new();
+        if ok {
+            worker.token = token;
+            launched = worker.obey(now, &orders);
+        }
+        let report = worker.report(id.as_str());
+        self.check_starts(&id, &launched);
+        if tries == 0 {
+            let outcome = if ok {
+                CallOutcome::Done(report)
+            } else {
+                CallOutcome::Rejected(Some(report))
+            };
+            self.after(2, What::CallDone(node, life, id, token, outcome));
+        }
+    }
+
+    /// One worker's turn: finish tasks, let the lease run out, report.
+    fn work(&mut self, id: &MachineId) {
+        let now = self.now;
+        self.order += 1;
+        let ticket = self.order;
+        let Some(w) = self.workers.get_mut(id).filter(|w| !w.dead) else {
+            return;
+        };
+        let mut send = None;
+        if w.hang_until <= now {
+            if now.since(w.answered).0 > LEASE {
+                w.session.0 += 1;
+                w.tasks.clear();
+                w.answered = now;
+                w.awaiting = None;
+            }
+            for (run, task) in &mut w.tasks {
+                let service = self
+                    .jobs
+                    .get(&run.task.job)
+                    .is_some_and(|s| s.kind == Kind::Service);
+                if task.state == TaskState::Running && task.until <= now && !service {
+                    task.state = TaskState::Exited;
+                    task.why = Some(Why::Done);
+                    let done = self.done_runs.entry(run.task.job.clone()).or_default();
+                    done.insert(run.task.index);
+                    w.next_report = w.next_report.min(now);
+                }
+            }
+            if w.awaiting.is_some_and(|(_, at)| now.since(at).0 >= 4000) {
+                w.awaiting = None;
+                w.node = (w.node + 1) % 3;
+                w.next_report = Time(now.0 + 1000);
+            }
+            if w.awaiting.is_none() && now >= w.next_report && w.cut_until <= now {
+                w.awaiting = Some((ticket, now));
+                w.next_report = Time(now.0 + 2000);
+                send = Some((w.node, w.report(id.as_str())));
+            }
+        }
+        if let Some((node, report)) = send {
+            let late = self.trouble.lost_answers && self.chance(5);
+            let ms = if late {
+                self.pick(3000, 9000)
+            } else {
+                self.pick(1, 4)
+            };
+            self.after(ms, What::Checkin(node, id.clone(), ticket, report));
+        }
+        self.after(100, What::Worker(id.clone()));
+    }
+
+    /// Gangs start together once all are there, end together, and notice a member's loss.
+    fn gangs(&mut self) {
+        let now = self.now;
+        let mut there: BTreeMap<(JobId, crate::ids::Attempt), Vec<TaskState>> = BTreeMap::new();
+        let up = |w: &&mut Worker| !w.dead && w.hang_until <= now;
+        for worker in self.workers.values_mut().filter(up) {
+            for (run, task) in &worker.tasks {
+                if self
+                    .jobs
+                    .get(&run.task.job)
+                    .is_some_and(|s| s.kind == Kind::Gang)
+                {
+                    let key = (run.task.job.clone(), run.attempt);
+                    there.entry(key).or_default().push(task.state);
+                }
+            }
+        }
+        let mut finished = Vec::new();
+        for worker in self.workers.values_mut().filter(up) {
+            for (run, task) in &mut worker.tasks {
+                let Some(states) = there.get(&(run.task.job.clone(), run.attempt)) else {
+                    continue;
+                };
+                let alive = states.iter().filter(|s| **s != TaskState::Exited).count();
+                let full = alive == self.jobs[&run.task.job].tasks as usize;
+                let (state, why) = match task.state {
+                    TaskState::Waiting if full => {
+                        task.until = Time(now.0 + 4000);
+                        (TaskState::Running, None)
+                    }
+                    TaskState::Waiting if now >= task.until => {
+                        (TaskState::Exited, Some(Why::Alone))
+                    }
+                    TaskState::Running if !full => (TaskState::Exited, Some(Why::Peers)),
+                    TaskState::Running if now >= task.until => {
+                        finished.push(run.task.job.clone());
+                        (TaskState::Exited, Some(Why::Done))
+                    }
+                    _ => continue,
+                };
+                (task.state, task.why) = (state, why);
+                worker.next_report = worker.next_report.min(now);
+            }
+        }
+        for id in finished {
+            let tasks = self.jobs[&id].tasks;
+            self.done_runs.entry(id).or_default().extend(0..tasks);
+        }
+        self.after(500, What::Gangs);
+    }
+
+    fn checkin(&mut self, node: usize, id: MachineId, ticket: u64, report: Report) {
+        let now = self.now;
+        let Some(c) = self.nodes[node].controller.as_mut() else {
+            self.after(5, What::Redirect(id, ticket, None));
+            return;
+        };
+        let (answer, effects) = c.on_checkin(now, &report);
+        self.carry_out(node, effects);
+        let ms = self.pick(1, 4);
+        match answer {
+            CheckinAnswer::Orders(token, orders) => {
+                self.after(ms, What::Answer(id, ticket, token, orders));
+            }
+            CheckinAnswer::Elsewhere(to) => {
+                let to = to.and_then(|t| MEMBERS.iter().position(|m| *m == t.as_str()));
+                self.after(ms, What::Redirect(id, ticket, to));
+            }
+        }
+    }
+
+    fn answer(&mut self, id: &MachineId, ticket: u64, token: Token, orders: &[Order]) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(id).filter(|w| !w.dead) else {
+            return;
+        };
+        let Some((awaited, sent)) = w.awaiting else {
+            return;
+        };
+        // Responses of an earlier session, too late, with a lower token, or that can't get
+        // through are dropped.
+        let late = now.since(sent).0 >= 4000 || w.cut_until > now || w.hang_until > now;
+        if awaited != ticket || late {
+            return;
+        }
+        w.awaiting = None;
+        if token < w.token {
+            return;
+        }
+        let launched = w.obey(now, orders);
+        w.answered = sent;
+        if token > w.token || !orders.is_empty() {
+            w.next_report = Time(now.0 + 500);
+        }
+        w.token = token;
+        self.check_starts(id, &launched);
+    }
+
+    fn cloud(&mut self, node: usize, life: u64, effect: Effect) {
+        let now = self.now;
+        match effect {
+            Effect::Rent(request) => {
+                let known = self.rented.get(&request.request).cloned();
+                let up = self.workers.len();
+                let ids = known.unwrap_or_else(|| {
+                    let free = 14usize.saturating_sub(up).min(request.count as usize);
+                    let ids: Vec<_> = (0..free).map(|_| self.new_machine(request.spot)).collect();
+                    for id in &ids {
+                        let boot = self.pick(1000, 6000);
+                        if !self.chance(5) {
+                            self.after(boot, What::Boot(id.clone()));
+                        }
+                    }
+                    self.rented.insert(request.request.clone(), ids.clone());
+                    ids
+                });
+                let outcome = match ids.is_empty() {
+                    true => RentOutcome::NoCapacity,
+                    false if self.trouble.lost_answers && self.chance(20) => RentOutcome::Again,
+                    false => RentOutcome::Rented(ids),
+                };
+                self.with(node, life, |c| c.on_rent(now, &request, outcome));
+            }
+            Effect::Delete(ids) => {
+                if self.breakage != Breakage::DeletionsTakenOnTrust {
+                    for id in &ids {
+                        self.workers.remove(id);
+                    }
+                }
+                let ok = !(self.trouble.lost_answers && self.chance(20));
+                self.with(node, life, |c| c.on_deleted(now, &ids, ok));
+            }
+            Effect::List => {
+                let list = self.workers.iter().map(|(id, w)| ListedMachine {
+                    id: id.clone(),
+                    type_name: "t8".into(),
+                    zone: w.zone.into(),
+                    spot: w.spot,
+                    state: if w.seq.0 == 0 {
+                        MachineState::Booting
+                    } else {
+                        MachineState::Running
+                    },
+                    age_s: 5.0,
+                });
+                let list = list.collect();
+                self.with(node, life, |c| c.on_list(now, Some(list)));
+            }
+            Effect::Catalog => {
+                let catalog: Catalog = serde_json::from_value(json!({"hulls": [
+                    {"name": "t8", "cores": 8, "cards": 0, "memory_gb": 64, "cache_gb": 50,
+                     "fetch_gb_per_s": 1.0, "price": 1.0, "low_price": 0.4, "startup_s": 4,
+                     "berths": ["a", "b"]}]}))
+                .expect("catalog");
+                self.with(node, life, |c| c.on_catalog(now, Some(catalog)));
+            }
+            Effect::Txn { .. } | Effect::Call { .. } | Effect::Peer(..) => {}
+        }
+    }
+
+    fn make_trouble(&mut self) {
+        if self.trouble.crashes && self.chance(50) {
+            let all = self.chance(25);
+            let victim = self.pick(0, 2) as usize;
+            for node in 0..3 {
+                if (all || node == victim) && self.nodes[node].controller.take().is_some() {
+                    self.nodes[node].life += 1;
+                    // Now and then within a fraction of a second.
+                    let ms = if self.chance(40) {
+                        self.pick(50, 400)
+                    } else {
+                        self.pick(2000, 6000)
+                    };
+                    self.after(ms, What::Start(node));
+                }
+            }
+        }
+        if self.trouble.store_cuts && self.chance(30) {
+            let until = Time(self.now.0 + self.pick(2000, 12_000));
+            let all = self.chance(30);
+            let victim = self.pick(0, 2) as usize;
+            for node in 0..3 {
+                if all || node == victim {
+                    self.nodes[node].store_cut_until = until;
+                }
+            }
+        }
+        if self.trouble.machines && self.chance(60) && !self.workers.is_empty() {
+            let at = self.pick(0, self.workers.len() as u64 - 1) as usize;
+            let ms = self.pick(3000, 25_000);
+            let kind = self.pick(0, 2);
+            let now = self.now;
+            if let Some(w) = self.workers.values_mut().nth(at) {
+                match kind {
+                    0 => w.cut_until = Time(now.0 + ms),
+                    1 => w.hang_until = Time(now.0 + ms),
+                    _ => {
+                        w.dead = true;
+                        w.tasks.clear();
+                    }
+                }
+            }
+        }
+        if !self.healed {
+            let ms = self.pick(1500, 6000);
+            self.after(ms, What::Trouble);
+        }
+    }
+
+    /// Submits, and cancels now and then.
+    fn user(&mut self) {
+        if self.healed {
+            // What never ends by itself is cancelled, so that the day can end.
+            let services =
+                |(id, s): (&JobId, &JobSpec)| (s.kind == Kind::Service).then(|| id.clone());
+            let open: Vec<JobId> = self.jobs.iter().filter_map(services).collect();
+            for id in &open {
+                self.cancel(id);
+            }
+            return;
+        }
+        let n = self.jobs.len();
+        let id = format!("job-{n:06}");
+        let mut body = crate::wire::tests::submission(&id);
+        body["sheets"] = json!(self.pick(1, 9));
+        body["crew"] = json!(if self.chance(50) { "red" } else { "blue" });
+        body["ebb"] = json!(self.chance(50));
+        if self.chance(25) {
+            body["shape"] = json!("daemon");
+            body["precedence"] = json!("high");
+            body["sheets"] = json!(self.pick(1, 2));
+            body["scatter"] = json!(self.chance(50));
+        } else if self.chance(20) {
+            body["same_place"] = json!(true);
+        }
+        if body["shape"] == "array" && self.chance(20) {
+            body["shape"] = json!("group");
+            body["sheets"] = json!(self.pick(2, 5));
+        }
+        let spec = JobSpec::parse(body.to_string().as_bytes()).expect("valid");
+        let mut txn = Txn::default();
+        txn.put(
+            keys::job(&spec.id),
+            &JobRecord {
+                spec: spec.clone(),
+                accepted: crate::ids::Wall(self.now.0),
+            },
+            None,
+        );
+        self.store.txn(&txn);
+        self.jobs.insert(spec.id.clone(), spec);
+        if n > 3 && self.chance(25) {
+            let at = self.pick(0, n as u64 - 1) as usize;
+            if let Some(id) = self.jobs.keys().nth(at).cloned() {
+                self.cancel(&id);
+            }
+        }
+        let ms = self.pick(1500, 6000);
+        self.after(ms, What::User);
+    }
+
+    fn cancel(&mut self, id: &JobId) {
+        if !self.store.keys.contains_key(&keys::job(id)) {
+            return;
+        }
+        let mut txn = Txn::default();
+        let tasks = self.jobs[id].tasks;
+        txn.put(
+            keys::over(id),
+            &OverRecord {
+                state: JobState::Cancelled,
+                tasks,
+            },
+            None,
+        );
+        txn.delete(keys::job(id));
+        self.store.txn(&txn);
+        self.cancelled.insert(id.clone(), self.now);
+        self.check_over();
+    }
+
+    fn breaks(&mut self, rule: &str, what: impl std::fmt::Display) {
+        self.broken
+            .push(format!("{rule} at {}: {what}", self.now.0));
+    }
+
+    /// `not_done` and `went_back`.
+    fn check_over(&mut self) {
+        let over: Vec<(JobId, OverRecord)> = self
+            .jobs
+            .keys()
+            .filter_map(|id| {
+                let (value, _, _) = self.store.keys.get(&keys::over(id))?;
+                Some((
+                    id.clone(),
+                    serde_json::from_value(value.clone()).expect("record"),
+                ))
+            })
+            .collect();
+        for (id, record) in over {
+            let before = self.over_seen.insert(id.clone(), record.state);
+            if before.is_some_and(|s| s != record.state) {
+                self.breaks("went_back", &id);
+            }
+            let done = self.done_runs.get(&id).map_or(0, BTreeSet::len);
+            if record.state == JobState::Done && done < self.jobs[&id].tasks as usize {
+                self.breaks("not_done", &id);
+            }
+        }
+    }
+
+    /// The rules about what is on machines, at each start.
+    fn check_starts(&mut self, at: &MachineId, launched: &[Run]) {
+        for run in launched {
+            self.starts += 1;
+            let gang = self
+                .jobs
+                .get(&run.task.job)
+                .is_some_and(|s| s.kind == Kind::Gang);
+            let until = Time(self.now.0 + 30_000);
+            if gang
+                && let Some(w) = self.workers.get_mut(at)
+                && let Some(task) = w.tasks.get_mut(run)
+            {
+                task.state = TaskState::Waiting;
+                task.until = until;
+            }
+            let Some(spec) = self.jobs.get(&run.task.job).cloned() else {
+                continue;
+            };
+            let alive: Vec<(MachineId, Run)> = self
+                .workers
+                .iter()
+                .filter(|(_, w)| !w.dead)
+                .flat_map(|(id, w)| w.tasks.iter().map(move |(r, t)| (id, r, t)))
+                .filter(|(_, _, t)| t.state != TaskState::Exited)
+                .map(|(id, r, _)| (id.clone(), r.clone()))
+                .collect();
+            if alive.iter().any(|(id, r)| r.task == run.task && id != at) {
+                self.breaks("ran_twice", run);
+            }
+            let used: u64 = alive
+                .iter()
+                .filter_map(|(_, r)| self.jobs.get(&r.task.job))
+                .filter(|s| s.team == spec.team)
+                .map(|s| s.need().cpus)
+                .sum();
+            if used > self.nodes[0].config.teams[&spec.team].limit.cpus {
+                self.breaks("quota", run);
+            }
+            let zone_of = |id: &MachineId| self.workers[id].zone;
+            let mine: Vec<&str> = alive
+                .iter()
+                .filter(|(_, r)| r.task.job == run.task.job)
+                .map(|(id, _)| zone_of(id))
+                .collect();
+            let here = mine.iter().filter(|z| **z == zone_of(at)).count();
+            let one_zone = !spec.one_zone || here == mine.len();
+            let spread = !spec.spread || here <= spec.tasks.div_ceil(2) as usize;
+            if !one_zone || !spread || (self.workers[at].spot && !spec.spot) {
+                self.breaks("wrong_place", run);
+            }
+            let late = self
+                .cancelled
+                .get(&spec.id)
+                .is_some_and(|c| self.now.since(*c).0 > CANCEL);
+            if late {
+                self.breaks("ran_cancelled", run);
+            }
+        }
+    }
+}
--- a/src/workers/holder.rs
+++ b/src/workers/holder.rs
@@ -12,7 +12,7 @@
 use crate::store::replica::{LiveJob, Replica};
 use crate::store::{TxnOutcome, keys};
 use crate::wire::state::Txn;
-use crate::wire::{JobState, Order, Report, TaskState, Why};
+use crate::wire::{JobState, Kind, Order, Report, TaskState, Why};
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Debug)]
@@ -142,7 +142,7 @@
             let health: Vec<MachineHealth> = self
                 .desks
                 .iter()
-                .map(|(id, desk)| health(id, desk, now))
+                .map(|(id, desk)| health(id, desk, now, replica))
                 .collect();
             if !health.is_empty() {
                 out.push(Effect::ToLeader(Message::Health(health)));
@@ -188,7 +188,7 @@
             Vec::new()
         };
         if first_word && let Some(desk) = self.desks.get(id) {
-            let message = Message::Health(vec![health(id, desk, now)]);
+            let message = Message::Health(vec![health(id, desk, now, replica)]);
             out.push(Effect::ToLeader(message));
         }
         self.drive(now, id, replica, out);
@@ -259,7 +259,7 @@
             }
         }
         if desk.confirmed && !was_confirmed {
-            let message = Message::Health(vec![health(id, desk, now)]);
+            let message = Message::Health(vec![health(id, desk, now, replica)]);
             out.push(Effect::ToLeader(message));
         }
         self.drive(now, id, replica, out);
@@ -553,7 +553,8 @@
                         .starts
                         .get(&run)
                         .is_some_and(|s| s.direct == Direct::Pending);
-                    if !(direct && presence == Presence::MayAppear) && !pending {
+                    let unanswered = direct && presence == Presence::MayAppear;
+                    if !unanswered && !pending {
                         desk.mark_start(&run, direct);
                         orders.push(Order::Start(run));
                     }
@@ -652,16 +653,25 @@
     }
 }
 
-fn health(id: &MachineId, desk: &Desk, now: Time) -> MachineHealth {
-    let fetching =
-        |s: &(TaskState, Option<Why>)| matches!(s.0, TaskState::Fetching | TaskState::Waiting);
+fn health(id: &MachineId, desk: &Desk, now: Time, replica: &Replica) -> MachineHealth {
+    let gang = |run: &Run| {
+        replica
+            .jobs
+            .get(&run.task.job)
+            .is_some_and(|j| j.spec.kind == Kind::Gang)
+    };
     MachineHealth {
         machine: id.clone(),
         fence: desk.fence,
         silent: now.since(desk.heard),
         confirmed: desk.confirmed && !desk.superseded,
         notice: desk.notice.map(|at| at.since(now)),
-        fetching: desk.listed.values().filter(|s| fetching(s)).count() as u32,
+        gangs: desk
+            .running_since
+            .keys()
+            .filter(|run| gang(run))
+            .map(|run| (run.task.job.clone(), run.attempt))
+            .collect(),
     }
 }
 
@@ -688,6 +698,12 @@
         bits.set(index % segment_tasks);
     }
     let segments = job.spec.tasks.div_ceil(segment_tasks);
+    // The tasks of a gang complete together: when one is done, all are. So the loss of a
+    // machine just then does not leave the rest to be run again.
+    if job.spec.kind == Kind::Gang && segments == 1 {
+        let bits = changed.entry(0).or_default();
+        (0..job.spec.tasks).for_each(|index| bits.set(index));
+    }
     let size = |segment: u32| (job.spec.tasks - segment * segment_tasks).min(segment_tasks);
     let count = |segment: u32| {
         changed
