--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -1,11 +1,12 @@
 //! Decisions about the fleet. No I/O: calls are returned as effects.
 
+use super::demand::{self, Load};
 use crate::config::Config;
-use crate::ids::{Amounts, MachineId, Revision, Span, Time, TypeName, Zone};
+use crate::ids::{Amounts, MachineId, Revision, Span, Time, TypeName, Wall, Zone};
 use crate::placement::{Scheduler, Shortage};
 use crate::store::replica::Replica;
 use crate::wire::{Catalog, ListedMachine, MachineState, MachineType, RentRequest};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 #[derive(Debug)]
 pub enum Effect {
@@ -65,7 +66,11 @@
     deleting: BTreeMap<MachineId, Time>,
     /// Deleted lately: the list still shows them for a while.
     deleted: BTreeMap<MachineId, Time>,
-    idle_since: BTreeMap<MachineId, Time>,
+    /// The load of the last while, its latest, and what the usable machines hold.
+    recent: VecDeque<(Time, Load)>,
+    load: Load,
+    capacity: u64,
+    pub wall: Wall,
     next_list: Time,
     listing: bool,
     next_catalog: Time,
@@ -85,7 +90,10 @@
             no_capacity: BTreeMap::new(),
             deleting: BTreeMap::new(),
             deleted: BTreeMap::new(),
-            idle_since: BTreeMap::new(),
+            recent: VecDeque::new(),
+            load: Load::default(),
+            capacity: 0,
+            wall: Wall(0),
             next_list: Time::default(),
             listing: false,
             next_catalog: Time::default(),
@@ -204,7 +212,6 @@
                 self.deleting.remove(id);
                 self.failed.remove(id);
                 self.booting.remove(id);
-                self.idle_since.remove(id);
                 self.deleted.insert(id.clone(), now);
                 out.push(Effect::DropRecord(id.clone()));
             } else {
@@ -219,7 +226,7 @@
             self.counter = 0;
             self.rentals.clear();
             self.deleting.clear();
-            self.idle_since.clear();
+            self.recent.clear();
             self.next_list = now;
         }
     }
@@ -317,7 +324,8 @@
         list
     }
 
-    /// Machines that have been unused for long enough, one at a time.
+    /// Empties machines that the load has not needed for a while, the dearest first, and returns
+    /// those that are empty. What runs on them may finish; replicas are moved.
     fn unused(
         &mut self,
         now: Time,
@@ -325,59 +333,88 @@
         scheduler: &mut Scheduler,
     ) -> Vec<MachineId> {
         let settings = replica.settings();
-        let mut ready = Vec::new();
-        let mut free_cpus = 0;
-        let mut service_cpus = 0;
-        for job in replica.jobs.values() {
-            if job.spec.kind == crate::wire::Kind::Service {
-                service_cpus += job.spec.need().cpus * u64::from(job.spec.tasks);
-            }
+        let load = demand::load(self.wall, replica, &self.config);
+        self.recent.push_back((now, load));
+        let window = Span::from_secs(settings.idle_s);
+        while self
+            .recent
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) > window)
+        {
+            self.recent.pop_front();
         }
+        let peak = self
+            .recent
+            .iter()
+            .fold(Load::default(), |p, (_, l)| p.max(*l));
+        self.load = load;
+        let spare = (load.services as f64 * settings.service_spare) as u64;
+        let mut cpus = 0;
+        let mut steady_cpus = 0;
+        let mut staying: Vec<(bool, u64, u64, MachineId)> = Vec::new();
         for (id, machine) in &replica.machines {
-            let Some(machine_type) = replica.machine_type(&machine.record.type_name) else {
-                continue;
-            };
-            if scheduler.usable(now, id, replica) && !machine.record.spot {
-                free_cpus += (machine_type.room() - machine.record.used()).cpus;
-            }
-            if !machine.record.jobs.is_empty() {
-                self.idle_since.remove(id);
-                continue;
-            }
-            let since = *self.idle_since.entry(id.clone()).or_insert(now);
-            if now.since(since) >= Span::from_secs(settings.idle_s) {
-                ready.push((machine.record.spot, machine_type.room().cpus, id.clone()));
+            let room = replica
+                .machine_type(&machine.record.type_name)
+                .map_or(0, |t| t.room().cpus);
+            if scheduler.usable(now, id, replica) {
+                cpus += room;
+                steady_cpus += if machine.record.spot { 0 } else { room };
+                let used = machine.record.used().cpus;
+                staying.push((machine.record.spot, used, room, id.clone()));
             }
         }
-        self.idle_since
-            .retain(|id, _| replica.machines.contains_key(id));
+        self.capacity = cpus;
         // Those that are leaving go once nothing can be on its way to them any more.
-        let mut list: Vec<MachineId> = Vec::new();
-        for (_, _, id) in &ready {
-            if scheduler.leaving.contains(id)
-                && !self.deleting.contains_key(id)
+        let empty = |id: &&MachineId| {
+            replica
+                .machines
+                .get(*id)
+                .is_some_and(|m| m.record.jobs.is_empty())
                 && scheduler.block_is_quiet(id.block(self.config.blocks()))
-            {
-                list.push(id.clone());
-            }
-        }
+        };
+        let list = scheduler
+            .leaving
+            .iter()
+            .filter(|id| !self.deleting.contains_key(*id))
+            .filter(empty)
+            .cloned()
+            .collect();
         let short = scheduler.shortages.iter().any(|s| s.tasks > 0);
         if !short && now >= self.next_return {
-            let spare = (service_cpus as f64 * settings.service_spare) as u64;
-            let next = ready.iter().find(|(spot, cpus, id)| {
-                !scheduler.leaving.contains(id) && (*spot || free_cpus >= spare + cpus)
+            staying.sort();
+            let next = staying.iter().find(|(spot, _, room, _)| {
+                cpus >= peak.total() + spare + room
+                    && (*spot || steady_cpus >= peak.services + spare + room)
             });
-            if let Some((_, _, id)) = next {
-                self.next_return = now + Span(1000);
+            if let Some((_, _, _, id)) = next {
+                self.next_return = now + Span(800);
                 scheduler.leaving.insert(id.clone());
             }
         }
         list
     }
 
+    /// Takes machines back that were to leave, when they are needed again after all.
+    fn stay(&mut self, lack: &mut u64, replica: &Replica, scheduler: &mut Scheduler) {
+        while *lack > 0 {
+            let back = scheduler
+                .leaving
+                .iter()
+                .find(|id| !self.deleting.contains_key(*id) && replica.machines.contains_key(*id))
+                .cloned();
+            let Some(id) = back else { return };
+            scheduler.leaving.remove(&id);
+            let room = replica
+                .machines
+                .get(&id)
+                .and_then(|m| replica.machine_type(&m.record.type_name))
+                .map_or(0, |t| t.room().cpus);
+            *lack = lack.saturating_sub(room.max(1));
+        }
+    }
+
     /// Rents for what found no room, less what is already on its way.
-    fn rent(&mut self, now: Time, replica: &Replica, scheduler: &Scheduler) {
-        let settings = replica.settings();
+    fn rent(&mut self, now: Time, replica: &Replica, scheduler: &mut Scheduler) {
         let Some(catalog) = self
             .catalog
             .as_ref()
@@ -408,21 +445,31 @@
                 }
             }
         }
-        let shortages = scheduler.shortages.clone();
+        let on_the_way: u64 = coming.iter().map(|(_, _, _, room)| room.cpus).sum();
+        let mut lack = self.load.total().saturating_sub(self.capacity + on_the_way);
+        let mut shortages = scheduler.shortages.clone();
+        if shortages.iter().any(|s| s.together) || lack > 0 {
+            let mut wanted = lack.max(1);
+            self.stay(&mut wanted, replica, scheduler);
+            lack = lack.min(wanted);
+        }
+        // What must run all at once comes first: the rest shares what is left.
+        shortages.sort_by_key(|s| !s.together);
         for shortage in shortages {
             let Some(job) = replica.jobs.get(&shortage.job) else {
                 continue;
             };
             let spec = &job.spec;
-            // Short tasks follow one another on the same machine.
-            let rounds = if shortage.together {
-                1
+            // Tasks of arrays follow one another: only what their deadlines ask for is rented.
+            let mut left = if shortage.together {
+                shortage.tasks
             } else {
-                ((settings.rent_work_s / shortage.seconds.max(1.0)).floor() as u64).max(1)
+                let tasks = lack.div_ceil(shortage.need.cpus.max(1)).min(shortage.tasks);
+                lack = lack.saturating_sub(tasks * shortage.need.cpus);
+                tasks
             };
-            let mut left = shortage.tasks.div_ceil(rounds);
             for (type_name, zone, spot, room) in &mut coming {
-                if left > 0 && spec.allows(type_name, zone, *spot) {
+                if left > 0 && shortage.together && spec.allows(type_name, zone, *spot) {
                     let n = shortage.need.count_in(*room).min(left);
                     *room = *room - shortage.need.times(n);
                     left -= n;
--- a/src/cloud/mod.rs
+++ b/src/cloud/mod.rs
@@ -1,6 +1,7 @@
 //! The leader's duty towards the cloud: the catalog, renting for demand, returning what is idle,
 //! deleting what never came up or went silent.
 
+mod demand;
 mod fleet;
 
 pub use fleet::{Effect, Fleet, RentOutcome};
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -209,7 +209,8 @@
         effects
     }
 
-    pub fn tick(&mut self, now: Time) -> Vec<Effect> {
+    pub fn tick(&mut self, now: Time, wall: crate::ids::Wall) -> Vec<Effect> {
+        self.fleet.wall = wall;
         self.turn(now)
     }
 
@@ -300,7 +301,8 @@
                 if ended.end == End::Done
                     && let (Some(pipeline), Some(ran)) = (&ended.pipeline, ended.ran)
                 {
-                    self.history.add(pipeline, &ended.type_name, ran);
+                    self.history
+                        .add(pipeline, &ended.type_name, ended.estimate_s, ran);
                 }
                 self.scheduler.on_ended(now, &ended);
                 self.dirty = true;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,7 +6,7 @@
 use crate::config::Config;
 use crate::controller::{Controller, Effect, TxnOwner};
 use crate::http::{self, Client, Failure, Method};
-use crate::ids::{Incarnation, MachineId, Session, Time, Token};
+use crate::ids::{Incarnation, MachineId, Session, Time, Token, Wall};
 use crate::intake::Intake;
 use crate::leadership::keep_grant;
 use crate::peers::{Links, Message, listen};
@@ -198,7 +198,7 @@
         let at = node.controller.borrow().wants_turn_at(now);
         let wait = at.since(now).0.clamp(5, 100);
         runtime::sleep(Duration::from_millis(wait)).await;
-        let effects = node.controller.borrow_mut().tick(node.now());
+        let effects = node.controller.borrow_mut().tick(node.now(), Wall::now());
         node.carry_out(effects);
     }
 }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -196,6 +196,13 @@
 #[serde(transparent)]
 pub struct Wall(pub u64);
 
+impl Wall {
+    pub fn now() -> Self {
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        Self(since.map_or(0, |d| d.as_millis() as u64))
+    }
+}
+
 /// What a task takes and a machine has, in thousandths: sums are exact.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Amounts {
--- a/src/intake/service.rs
+++ b/src/intake/service.rs
@@ -122,7 +122,7 @@
         }
         let record = JobRecord {
             spec,
-            accepted: wall(),
+            accepted: Wall::now(),
         };
         let mut txn = Txn::default();
         txn.require(keys::job(&id), Revision(0));
@@ -252,11 +252,6 @@
     }
 }
 
-fn wall() -> Wall {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    Wall(since.map_or(0, |d| d.as_millis() as u64))
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/peers/messages.rs
+++ b/src/peers/messages.rs
@@ -57,6 +57,7 @@
     pub type_name: TypeName,
     pub pipeline: Option<Pipeline>,
     pub end: End,
+    pub estimate_s: f64,
     /// How long it was seen running.
     pub ran: Option<Span>,
 }
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -11,7 +11,8 @@
     TypeName, Zone,
 };
 use crate::peers::{Allotment, End, Ended, MachineHealth, Message, attempt};
-use crate::store::replica::{LiveJob, Replica};
+use crate::store::records::PlacedJob;
+use crate::store::replica::{LiveJob, LiveMachine, Replica};
 use crate::wire::{Kind, Priority, Why};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
@@ -109,6 +110,7 @@
     room: Amounts,
     free: Amounts,
     images: Vec<&'a str>,
+    replicas: usize,
 }
 
 impl Scheduler {
@@ -307,7 +309,8 @@
                 allotments.push(outgoing);
             }
         }
-        let stops = self.preemptions(replica, &shortages, &candidates, &accounts, &within);
+        let mut stops = self.preemptions(replica, &shortages, &candidates, &accounts, &within);
+        stops.extend(self.moves(replica, &candidates));
         drop(candidates);
         for (machine, run) in stops {
             let block = machine.block(self.config.blocks());
@@ -430,6 +433,7 @@
                 room,
                 free: room - used,
                 images: machine.images.iter().map(|(i, _)| i.as_str()).collect(),
+                replicas: replicas(machine, replica),
             });
         }
         list
@@ -459,11 +463,17 @@
             })
             .map(|(at, c)| {
                 let cached = c.images.contains(&spec.image.as_str());
+                // Replicas gather on few machines, so that the others can empty.
+                let company = match spec.kind {
+                    Kind::Service => std::cmp::Reverse(c.replicas),
+                    _ => std::cmp::Reverse(0),
+                };
                 let key = (
-                    !(cached && group.contains(c.id)),
                     !cached,
-                    // Work that may be lost goes to cheap machines, what should stay goes off them.
+                    company,
+                    // Work that may be lost goes to cheap machines.
                     !c.spot,
+                    !group.contains(c.id),
                     c.free.cpus,
                 );
                 (key, at)
@@ -473,6 +483,39 @@
         order.into_iter().map(|(_, at)| at).collect()
     }
 
+    /// Replicas to stop on machines that are on their way out, where another machine has room
+    /// and the image, so that they start there at once. One at a time for each service.
+    fn moves(&self, replica: &Replica, candidates: &[Candidate<'_>]) -> Vec<(MachineId, Run)> {
+        let mut stops: Vec<(MachineId, Run)> = Vec::new();
+        let mut free: Vec<Amounts> = candidates.iter().map(|c| c.free).collect();
+        for id in &self.leaving {
+            let Some(machine) = replica.machines.get(id) else {
+                continue;
+            };
+            for (run, placed) in machine.record.runs() {
+                let Some(job) = replica.jobs.get(&run.task.job) else {
+                    continue;
+                };
+                let spec = &job.spec;
+                let busy = self.preempted.keys().any(|r| r.task.job == spec.id)
+                    || stops.iter().any(|(_, r)| r.task.job == spec.id);
+                if spec.kind != Kind::Service || busy || spec.spread || spec.one_zone {
+                    continue;
+                }
+                let target = candidates.iter().enumerate().position(|(at, c)| {
+                    spec.allows(c.type_name, c.zone, c.spot)
+                        && c.images.contains(&spec.image.as_str())
+                        && placed.need.fits(free[at])
+                });
+                if let Some(at) = target {
+                    free[at] = free[at] - placed.need;
+                    stops.push((id.clone(), run));
+                }
+            }
+        }
+        stops
+    }
+
     /// Tasks to stop so that those of a higher priority, or within a guarantee, get room.
     fn preemptions(
         &self,
@@ -565,6 +608,18 @@
     }
 }
 
+/// How many replicas of services a machine has.
+fn replicas(machine: &LiveMachine, replica: &Replica) -> usize {
+    let service = |p: &&PlacedJob| {
+        replica
+            .jobs
+            .get(&p.job)
+            .is_some_and(|j| j.spec.kind == Kind::Service)
+    };
+    let placed = machine.record.jobs.iter().filter(service);
+    placed.map(|p| p.tasks.len()).sum()
+}
+
 /// Stops a task, and with a task of a gang all of them: they can only save together.
 fn stop_whole(
     run: &Run,
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -246,7 +246,7 @@
             What::Tick(node) => {
                 let now = self.now;
                 if let Some(c) = self.nodes[node].controller.as_mut() {
-                    let effects = c.tick(now);
+                    let effects = c.tick(now, crate::ids::Wall(now.0));
                     self.carry_out(node, effects);
                     self.after(25, What::Tick(node));
                 }
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -137,7 +137,7 @@
     pub predicted_s: f64,
 }
 
-/// Run times of a pipeline's tasks in seconds, by machine type, oldest first.
+/// Run times of a pipeline's tasks as parts of the estimates, by machine type, oldest first.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct HistoryRecord {
     pub types: BTreeMap<TypeName, Vec<f32>>,
--- a/src/workers/holder.rs
+++ b/src/workers/holder.rs
@@ -397,6 +397,7 @@
                     out.push(Effect::ToLeader(Message::Ended(Ended {
                         machine: id.clone(),
                         type_name: type_name.clone(),
+                        estimate_s: job.map_or(0.0, |j| j.spec.estimate_s),
                         pipeline: job.map(|j| j.spec.pipeline.clone()),
                         end,
                         ran,
