--- a/src/cloud/demand.rs
+++ b/src/cloud/demand.rs
@@ -3,6 +3,7 @@
 
 use crate::config::Config;
 use crate::ids::Wall;
+use crate::placement::service_order;
 use crate::store::replica::Replica;
 use crate::wire::Kind;
 
@@ -41,28 +42,50 @@
 
 /// Fetching the image and the way there and back.
 const OVERHEAD: f64 = 6.0;
+/// The part of a task's time that is kept in hand.
+const MARGIN: f64 = 0.6;
+/// What can't be in time any more is still to be done, within about this time.
+const LATE: f64 = 15.0;
 
-/// The CPUs that finish every batch in time when the most urgent go first: the work due by each
-/// deadline, spread over the time until then less half a task, since the last tasks to start
-/// end apart.
-pub fn required(mut batches: Vec<Batch>) -> f64 {
-    batches.sort_by(|a, b| a.due.total_cmp(&b.due));
+/// How long a batch may take: its last tasks end apart, and estimates err.
+fn time(batch: &Batch) -> f64 {
+    (batch.due - MARGIN * batch.task)
+        .max(0.7 * batch.task)
+        .max(1.0)
+}
+
+/// The CPUs that are lacking beside `capacity`, when machines that are rented now help only
+/// after `boot` seconds.
+pub fn lacking(batches: &[Batch], capacity: f64, boot: f64) -> f64 {
     let (mut work, mut width, mut most) = (0.0, 0.0, 0.0f64);
     for batch in batches {
         work += batch.work;
         width += batch.width;
-        let time = (batch.due - 0.5 * batch.task)
-            .max(0.7 * batch.task)
-            .max(1.0);
-        most = most.max((work / time).min(width));
+        let time = time(batch);
+        let open = work - capacity * time;
+        most = most.max((open / (time - boot).max(LATE)).min(width - capacity));
     }
     most
 }
 
-pub fn load(wall: Wall, replica: &Replica, config: &Config) -> Load {
+/// The CPUs that finish every batch in time when they are served in this order: the work up to
+/// each, spread over the time that is left for it. A guarantee may go before what is due sooner.
+pub fn required(batches: &[Batch]) -> f64 {
+    let (mut work, mut width, mut most) = (0.0, 0.0, 0.0f64);
+    for batch in batches {
+        work += batch.work;
+        width += batch.width;
+        most = most.max((work / time(batch)).min(width));
+    }
+    most
+}
+
+/// The load, and the batches that it is made of.
+pub fn load(wall: Wall, replica: &Replica, config: &Config) -> (Load, Vec<Batch>) {
     let mut load = Load::default();
     let mut batches = Vec::new();
-    for job in replica.jobs.values() {
+    let mut busy = 0.0;
+    for (_, job) in service_order(config, replica) {
         let spec = &job.spec;
         let need = spec.need();
         if spec.kind != Kind::Array {
@@ -74,19 +97,25 @@
         let running = (job.placed.len() as u32).min(left);
         let task = job.plan.as_ref().map_or(spec.estimate_s, |p| p.predicted_s) + OVERHEAD;
         let width = (need.cpus * u64::from(left)).min(limit) as f64;
-        let waiting = f64::from(left - running) + 0.5 * f64::from(running);
         let age = wall.0.saturating_sub(job.accepted.0) as f64 / 1000.0;
         // Without a deadline there is no hurry, but an end.
         let due = spec.deadline_s.unwrap_or(4.0 * task + 60.0) - age;
+        let cpus = need.cpus as f64;
+        // What runs holds its place whatever comes first; on average half of it is left.
+        busy += 0.5 * f64::from(running) * cpus * task;
+        let work = f64::from(left - running) * cpus * task;
         batches.push(Batch {
             due,
             width,
             task,
-            work: waiting * need.cpus as f64 * task,
+            work,
         });
     }
-    load.arrays = required(batches) as u64;
-    load
+    if let Some(first) = batches.first_mut() {
+        first.work += busy;
+    }
+    load.arrays = required(&batches) as u64;
+    (load, batches)
 }
 
 #[cfg(test)]
@@ -101,13 +130,12 @@
         }
     }
 
-    /// Serves batches most urgent first, task by task, on a number of slots of 4 CPUs; returns
+    /// Serves batches in their order, task by task, on a number of slots of 4 CPUs; returns
     /// the largest lateness as a part of a task.
-    fn worst_lateness(mut batches: Vec<Batch>, cpus: f64) -> f64 {
-        batches.sort_by(|a, b| a.due.total_cmp(&b.due));
+    fn worst_lateness(batches: &[Batch], cpus: f64) -> f64 {
         let mut slots = vec![0.0f64; (cpus / 4.0).ceil().max(1.0) as usize];
         let mut worst = f64::NEG_INFINITY;
-        for batch in &batches {
+        for batch in batches {
             let mut end = 0.0f64;
             for _ in 0..(batch.width / 4.0) as u32 {
                 slots.sort_by(f64::total_cmp);
@@ -123,8 +151,8 @@
         #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(31), failure_persistence: None, ..ProptestConfig::default() })]
         #[test]
         fn what_is_required_is_enough_and_far_less_is_not(batches in proptest::collection::vec(batch(), 1..8)) {
-            let cpus = required(batches.clone());
-            prop_assert!(worst_lateness(batches.clone(), cpus) <= 1.0);
+            let cpus = required(&batches);
+            prop_assert!(worst_lateness(&batches, cpus) <= 1.0);
             let width: f64 = batches.iter().map(|b| b.width).sum();
             prop_assert!(cpus <= width + 1.0);
         }
--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -1,9 +1,9 @@
 //! Decisions about the fleet. No I/O: calls are returned as effects.
 
-use super::demand::{self, Load};
+use super::demand::{self, Batch, Load};
 use crate::config::Config;
 use crate::ids::{Amounts, MachineId, Revision, Span, Time, TypeName, Wall, Zone};
-use crate::placement::{Scheduler, Shortage};
+use crate::placement::{Scheduler, Shortage, replicas};
 use crate::store::replica::Replica;
 use crate::wire::{Catalog, ListedMachine, MachineState, MachineType, RentRequest};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -69,6 +69,7 @@
     /// The load of the last while, its latest, and what the usable machines hold.
     recent: VecDeque<(Time, Load)>,
     load: Load,
+    batches: Vec<Batch>,
     capacity: u64,
     pub wall: Wall,
     next_list: Time,
@@ -92,6 +93,7 @@
             deleted: BTreeMap::new(),
             recent: VecDeque::new(),
             load: Load::default(),
+            batches: Vec::new(),
             capacity: 0,
             wall: Wall(0),
             next_list: Time::default(),
@@ -333,7 +335,7 @@
         scheduler: &mut Scheduler,
     ) -> Vec<MachineId> {
         let settings = replica.settings();
-        let load = demand::load(self.wall, replica, &self.config);
+        let (load, batches) = demand::load(self.wall, replica, &self.config);
         self.recent.push_back((now, load));
         let window = Span::from_secs(settings.idle_s);
         while self
@@ -348,10 +350,14 @@
             .iter()
             .fold(Load::default(), |p, (_, l)| p.max(*l));
         self.load = load;
+        self.batches = batches;
         let spare = (load.services as f64 * settings.service_spare) as u64;
         let mut cpus = 0;
         let mut steady_cpus = 0;
-        let mut staying: Vec<(bool, u64, u64, MachineId)> = Vec::new();
+        let mut staying: Vec<(bool, usize, u64, u64, MachineId)> = Vec::new();
+        scheduler
+            .leaving
+            .retain(|id| replica.machines.contains_key(id));
         for (id, machine) in &replica.machines {
             let room = replica
                 .machine_type(&machine.record.type_name)
@@ -360,7 +366,8 @@
                 cpus += room;
                 steady_cpus += if machine.record.spot { 0 } else { room };
                 let used = machine.record.used().cpus;
-                staying.push((machine.record.spot, used, room, id.clone()));
+                let replicas = replicas(machine, replica);
+                staying.push((machine.record.spot, replicas, used, room, id.clone()));
             }
         }
         self.capacity = cpus;
@@ -382,11 +389,11 @@
         let short = scheduler.shortages.iter().any(|s| s.tasks > 0);
         if !short && now >= self.next_return {
             staying.sort();
-            let next = staying.iter().find(|(spot, _, room, _)| {
+            let next = staying.iter().find(|(spot, _, _, room, _)| {
                 cpus >= peak.total() + spare + room
                     && (*spot || steady_cpus >= peak.services + spare + room)
             });
-            if let Some((_, _, _, id)) = next {
+            if let Some((.., id)) = next {
                 self.next_return = now + Span(800);
                 scheduler.leaving.insert(id.clone());
             }
@@ -446,13 +453,16 @@
             }
         }
         let on_the_way: u64 = coming.iter().map(|(_, _, _, room)| room.cpus).sum();
-        let mut lack = self.load.total().saturating_sub(self.capacity + on_the_way);
+        let boot = catalog.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
+        let capacity = (self.capacity + on_the_way).saturating_sub(self.load.services);
+        let mut lack = demand::lacking(&self.batches, capacity as f64, boot) as u64;
         let mut shortages = scheduler.shortages.clone();
         if shortages.iter().any(|s| s.together) || lack > 0 {
             let mut wanted = lack.max(1);
             self.stay(&mut wanted, replica, scheduler);
             lack = lack.min(wanted);
         }
+        tracing::debug!(load = ?self.load, capacity = self.capacity, on_the_way, lack, shortages = shortages.len(), leaving = scheduler.leaving.len(), "fleet");
         // What must run all at once comes first: the rest shares what is left.
         shortages.sort_by_key(|s| !s.together);
         for shortage in shortages {
@@ -461,7 +471,20 @@
             };
             let spec = &job.spec;
             // Tasks of arrays follow one another: only what their deadlines ask for is rented.
-            let mut left = if shortage.together {
+            let served = coming.iter().map(|(t, z, s, _)| (t, z, *s)).chain(
+                replica
+                    .machines
+                    .values()
+                    .map(|m| (&m.record.type_name, &m.record.zone, m.record.spot)),
+            );
+            // What no machine of the fleet may run needs one, however idle the others are.
+            let nowhere = !served.into_iter().any(|(t, z, s)| {
+                spec.allows(t, z, s)
+                    && replica
+                        .machine_type(t)
+                        .is_some_and(|t| shortage.need.fits(t.room()))
+            });
+            let mut left = if shortage.together || nowhere {
                 shortage.tasks
             } else {
                 let tasks = lack.div_ceil(shortage.need.cpus.max(1)).min(shortage.tasks);
@@ -469,7 +492,8 @@
                 tasks
             };
             for (type_name, zone, spot, room) in &mut coming {
-                if left > 0 && shortage.together && spec.allows(type_name, zone, *spot) {
+                if left > 0 && (shortage.together || nowhere) && spec.allows(type_name, zone, *spot)
+                {
                     let n = shortage.need.count_in(*room).min(left);
                     *room = *room - shortage.need.times(n);
                     left -= n;
--- a/src/config.rs
+++ b/src/config.rs
@@ -41,6 +41,9 @@
     pub teams: BTreeMap<TeamId, Team>,
     pub report: Span,
     pub gang_wait: Span,
+    /// How long work within a guarantee waits before room is made for it: half of what the
+    /// operators are held to.
+    pub guarantee_patience: Span,
     pub state_rps: f64,
     pub state_write_rps: f64,
     pub value_bytes: usize,
@@ -75,6 +78,8 @@
 #[derive(Deserialize)]
 struct FileParams {
     teams: Vec<FileTeam>,
+    #[serde(default)]
+    objectives: Vec<FileObjective>,
     workers: FileWorkers,
     state: FileState,
     cloud: FileCloud,
@@ -90,6 +95,12 @@
     gpus_max: f64,
 }
 
+#[derive(Deserialize)]
+struct FileObjective {
+    kind: String,
+    within_s: Option<f64>,
+}
+
 #[derive(Deserialize)]
 struct FileWorkers {
     report_s: f64,
@@ -211,6 +222,11 @@
         if !(params.state.value_kb >= 1.0 && params.state.value_kb < 1e6) {
             return invalid("params.state.value_kb", "must be at least 1");
         }
+        let within = params
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "guarantee")
+            .find_map(|o| o.within_s);
         let workers = &params.workers;
         Ok(Self {
             member: file.member.as_str().into(),
@@ -223,6 +239,7 @@
             state_addr: address("services.state", &file.services.state)?,
             teams,
             report: Span::from_secs(positive("params.workers.report_s", workers.report_s)?),
+            guarantee_patience: Span::from_secs(within.unwrap_or(10.0) / 2.0),
             gang_wait: Span::from_secs(positive(
                 "params.workers.gang_wait_s",
                 workers.gang_wait_s,
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -211,6 +211,7 @@
 
     pub fn tick(&mut self, now: Time, wall: crate::ids::Wall) -> Vec<Effect> {
         self.fleet.wall = wall;
+        self.scheduler.wall = wall;
         self.turn(now)
     }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,4 +7,5 @@
 mod order;
 mod scheduler;
 
-pub use scheduler::{Effect, Scheduler, Shortage};
+pub use order::service_order;
+pub use scheduler::{Effect, Scheduler, Shortage, replicas};
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -1,8 +1,8 @@
 //! The order in which waiting jobs are served.
 
-use crate::config::Team;
+use crate::config::{Config, Team};
 use crate::ids::{Amounts, JobId, TeamId, Wall};
-use crate::store::replica::LiveJob;
+use crate::store::replica::{LiveJob, Replica};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -33,6 +33,14 @@
     within
 }
 
+/// All jobs in the order in which they are served.
+pub fn service_order<'a>(config: &Config, replica: &'a Replica) -> Vec<(&'a JobId, &'a LiveJob)> {
+    let within = guaranteed(&config.teams, replica.jobs.iter());
+    let mut list: Vec<_> = replica.jobs.iter().collect();
+    list.sort_by_cached_key(|(id, job)| rank(id, job, within.contains(*id)));
+    list
+}
+
 /// Priority first; then what a guarantee covers; then what is due first; then age.
 pub fn rank(id: &JobId, job: &LiveJob, within: bool) -> impl Ord + use<> {
     let due = job.spec.deadline_s.map_or(Wall(u64::MAX), |s| {
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -8,7 +8,7 @@
 use crate::config::Config;
 use crate::ids::{
     Amounts, Attempt, BlockId, JobId, MachineId, Member, Revision, Run, Span, TaskId, TeamId, Time,
-    TypeName, Zone,
+    TypeName, Wall, Zone,
 };
 use crate::peers::{Allotment, End, Ended, MachineHealth, Message, attempt};
 use crate::store::records::PlacedJob;
@@ -94,6 +94,7 @@
     preempted: HashMap<Run, Time>,
     renewed: BTreeMap<BlockId, Time>,
     pub shortages: Vec<Shortage>,
+    pub wall: Wall,
     /// Machines on their way out: they get nothing new.
     pub leaving: BTreeSet<MachineId>,
 }
@@ -125,6 +126,7 @@
             preempted: HashMap::new(),
             renewed: BTreeMap::new(),
             shortages: Vec::new(),
+            wall: Wall(0),
             leaving: BTreeSet::new(),
         }
     }
@@ -198,6 +200,7 @@
             })
             .collect();
         waiting.sort_by_cached_key(|(id, job)| rank(id, job, within.contains(*id)));
+        let reserve = self.reserve(replica, &candidates);
         let mut shortages = Vec::new();
         let mut allotments: Vec<Outgoing> = Vec::new();
         for (id, job) in waiting {
@@ -235,6 +238,13 @@
             }
             let before: Vec<Amounts> = candidates.iter().map(|c| c.free).collect();
             let mut zones = ZoneRule::new(job, already, replica);
+            let held = reserve
+                .filter(|_| spec.kind != Kind::Service)
+                .map(|(at, amounts)| {
+                    let kept = candidates[at].free;
+                    candidates[at].free = kept - amounts;
+                    (at, kept - candidates[at].free)
+                });
             let order = self.preference(id, job, &zones, &candidates);
             let mut open = open.into_iter().peekable();
             let listed: Vec<(BlockId, MachineId)> = order
@@ -280,6 +290,9 @@
                     break;
                 }
             }
+            if let Some((at, amounts)) = held {
+                candidates[at].free = candidates[at].free + amounts;
+            }
             let left = open.count() as u64;
             if left > 0 {
                 shortages.push(Shortage {
@@ -483,6 +496,39 @@
         order.into_iter().map(|(_, at)| at).collect()
     }
 
+    /// Room that only replicas may take, on the machine where most of them are: there the next
+    /// one starts at once, and nothing has to be thrown away for it.
+    fn reserve(&self, replica: &Replica, candidates: &[Candidate<'_>]) -> Option<(usize, Amounts)> {
+        let (mut total, mut largest) = (0, Amounts::default());
+        for job in replica
+            .jobs
+            .values()
+            .filter(|j| j.spec.kind == Kind::Service)
+        {
+            let need = job.spec.need();
+            total += need.cpus * u64::from(job.spec.tasks);
+            if need.cpus > largest.cpus {
+                largest = need;
+            }
+        }
+        if largest.cpus == 0 {
+            return None;
+        }
+        let spare = (total as f64 * replica.settings().service_spare) as u64;
+        let count = spare.div_ceil(largest.cpus).max(1);
+        let at = candidates
+            .iter()
+            .enumerate()
+            .filter(|(_, c)| !c.spot && largest.fits(c.room))
+            .max_by_key(|(_, c)| (c.replicas, std::cmp::Reverse(c.id)))
+            .map(|(at, _)| at)?;
+        let mut count = count;
+        while count > 1 && !largest.times(count).fits(candidates[at].room) {
+            count -= 1;
+        }
+        Some((at, largest.times(count)))
+    }
+
     /// Replicas to stop on machines that are on their way out, where another machine has room
     /// and the image, so that they start there at once. One at a time for each service.
     fn moves(&self, replica: &Replica, candidates: &[Candidate<'_>]) -> Vec<(MachineId, Run)> {
@@ -539,13 +585,17 @@
                 continue;
             };
             let spec = &job.spec;
-            let guaranteed = within.contains(&shortage.job);
+            // Tasks end all the time, and those of a guarantee are next in line: work is only
+            // thrown away for them once waiting won't do.
+            let age = Span(self.wall.0.saturating_sub(job.accepted.0));
+            let guaranteed =
+                within.contains(&shortage.job) && age >= self.config.guarantee_patience;
             for _ in 0..shortage.tasks.min(16) {
                 if shortage.need.fits(coming) && coming.cpus > 0 {
                     coming = coming - shortage.need;
                     continue;
                 }
-                let mut best: Option<(u64, &MachineId, Vec<Run>)> = None;
+                let mut best: Option<((bool, u64), &MachineId, Vec<Run>)> = None;
                 for c in candidates {
                     if !spec.allows(c.type_name, c.zone, c.spot) || !shortage.need.fits(c.room) {
                         continue;
@@ -572,13 +622,15 @@
                     // The latest starts have done the least.
                     victims.sort_by_key(|(p, run, _)| (*p, std::cmp::Reverse(run.attempt)));
                     let mut chosen = Vec::new();
-                    let mut cost = 0;
+                    // Where the image is, the start is at once.
+                    let cached = c.images.contains(&spec.image.as_str());
+                    let mut cost = (!cached, 0);
                     for (_, run, need) in victims {
                         if shortage.need.fits(free) {
                             break;
                         }
                         free = free + need;
-                        cost += need.cpus;
+                        cost.1 += need.cpus;
                         chosen.push(run);
                     }
                     let better = best.as_ref().is_none_or(|(b, _, _)| cost < *b);
@@ -609,7 +661,7 @@
 }
 
 /// How many replicas of services a machine has.
-fn replicas(machine: &LiveMachine, replica: &Replica) -> usize {
+pub fn replicas(machine: &LiveMachine, replica: &Replica) -> usize {
     let service = |p: &&PlacedJob| {
         replica
             .jobs
