--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -3,7 +3,7 @@
 use super::demand::{self, Batch, Load};
 use crate::config::Config;
 use crate::ids::{Amounts, MachineId, Revision, Span, Time, TypeName, Wall, Zone};
-use crate::placement::{Scheduler, Shortage, replicas};
+use crate::placement::{Scheduler, Shortage, replicas, spare_replicas};
 use crate::store::replica::Replica;
 use crate::wire::{Catalog, ListedMachine, MachineState, MachineType, RentRequest};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -71,6 +71,9 @@
     load: Load,
     batches: Vec<Batch>,
     capacity: u64,
+    /// What ordinary machines hold of it, and what is kept for the next replicas.
+    steady: u64,
+    spare: u64,
     pub wall: Wall,
     next_list: Time,
     listing: bool,
@@ -95,6 +98,8 @@
             load: Load::default(),
             batches: Vec::new(),
             capacity: 0,
+            steady: 0,
+            spare: 0,
             wall: Wall(0),
             next_list: Time::default(),
             listing: false,
@@ -351,7 +356,8 @@
             .fold(Load::default(), |p, (_, l)| p.max(*l));
         self.load = load;
         self.batches = batches;
-        let spare = (load.services as f64 * settings.service_spare) as u64;
+        let spare = spare_replicas(replica).map_or(0, |(need, count)| need.cpus * count);
+        self.spare = spare;
         let mut cpus = 0;
         let mut steady_cpus = 0;
         let mut staying: Vec<(bool, usize, u64, u64, MachineId)> = Vec::new();
@@ -366,11 +372,12 @@
                 cpus += room;
                 steady_cpus += if machine.record.spot { 0 } else { room };
                 let used = machine.record.used().cpus;
-                let replicas = replicas(machine, replica);
+                let (replicas, _) = replicas(machine, replica);
                 staying.push((machine.record.spot, replicas, used, room, id.clone()));
             }
         }
         self.capacity = cpus;
+        self.steady = steady_cpus;
         // Those that are leaving go once nothing can be on its way to them any more.
         let empty = |id: &&MachineId| {
             replica
@@ -463,6 +470,30 @@
             lack = lack.min(wanted);
         }
         tracing::debug!(load = ?self.load, capacity = self.capacity, on_the_way, lack, shortages = shortages.len(), leaving = scheduler.leaving.len(), "fleet");
+        let steady_coming: u64 = coming
+            .iter()
+            .filter(|(_, _, spot, _)| !spot)
+            .map(|(_, _, _, room)| room.cpus)
+            .sum();
+        let steady = self.steady + steady_coming;
+        let service = replica
+            .jobs
+            .iter()
+            .find(|(_, j)| j.spec.kind == crate::wire::Kind::Service);
+        // The next replicas must not wait for a machine to boot.
+        if steady < self.load.services + self.spare
+            && !shortages.iter().any(|s| s.together)
+            && let Some((id, job)) = service
+        {
+            shortages.push(Shortage {
+                job: id.clone(),
+                need: job.spec.need(),
+                tasks: 1,
+                seconds: 0.0,
+                priority: job.spec.priority,
+                together: true,
+            });
+        }
         // What must run all at once comes first: the rest shares what is left.
         shortages.sort_by_key(|s| !s.together);
         for shortage in shortages {
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -313,7 +313,11 @@
                 self.scheduler.on_health(now, health);
                 self.dirty |= urgent;
             }
-            Message::Hello { .. } | Message::StoreUp(_) => {}
+            // The daemon deals with these before they get here.
+            Message::Hello { .. }
+            | Message::StoreUp(_)
+            | Message::Ask { .. }
+            | Message::Reply { .. } => {}
         }
         self.holder_effects(now, out, effects);
     }
--- /dev/null
+++ b/src/daemon/forward.rs
@@ -0,0 +1,78 @@
+//! Users' requests that this controller can't decide because the state service serves others
+//! but not it: they are decided by a peer, over the link.
+
+use super::{Node, TELL, routes};
+use crate::http::{Method, Request, Response};
+use crate::ids::Member;
+use crate::peers::Message;
+use crate::runtime::{self, Sender, oneshot};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_millis(1500);
+/// More at a time than this are refused at once.
+const MOST: usize = 500;
+
+#[derive(Default)]
+pub struct Forwarded {
+    next: Cell<u64>,
+    waiting: RefCell<BTreeMap<u64, Sender<Response>>>,
+}
+
+impl Forwarded {
+    pub fn settle(&self, id: u64, status: u16, body: Vec<u8>) {
+        if let Some(waiting) = self.waiting.borrow_mut().remove(&id) {
+            waiting.send(Response::new(status, body));
+        }
+    }
+}
+
+/// Asks a peer that the state service serves. `None`: there is none, or it did not answer.
+pub async fn ask(node: &Rc<Node>, request: &Request) -> Option<Response> {
+    let peer = {
+        let served = node.peers_served.borrow();
+        let recent = served.iter().filter(|(_, at)| at.elapsed() < 3 * TELL);
+        recent.max_by_key(|(_, at)| **at).map(|(m, _)| m.clone())?
+    };
+    if node.forwarded.waiting.borrow().len() >= MOST {
+        return None;
+    }
+    let id = node.forwarded.next.get() + 1;
+    node.forwarded.next.set(id);
+    let (answer, result) = oneshot();
+    node.forwarded.waiting.borrow_mut().insert(id, answer);
+    let message = Message::Ask {
+        id,
+        post: request.method == Method::Post,
+        path: request.path.clone(),
+        body: request.body.clone(),
+    };
+    node.links.send(&peer, message);
+    let response = runtime::timeout(PATIENCE, result.get()).await.flatten();
+    node.forwarded.waiting.borrow_mut().remove(&id);
+    response.filter(|r| r.status < 500)
+}
+
+/// Decides a peer's request here; it is never handed on again.
+pub async fn answer(
+    node: Rc<Node>,
+    from: Member,
+    id: u64,
+    post: bool,
+    path: String,
+    body: Vec<u8>,
+) {
+    let method = if post { Method::Post } else { Method::Get };
+    let request = Request { method, path, body };
+    let response = routes::user_request(&node, &request)
+        .await
+        .unwrap_or_else(|| Response::error(404, "no such path"));
+    let reply = Message::Reply {
+        id,
+        status: response.status,
+        body: response.body,
+    };
+    node.links.send(&from, reply);
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! The process: sockets, routines and clocks around the decisions.
 
 mod cloud_calls;
+mod forward;
 mod routes;
 
 use crate::config::Config;
@@ -42,6 +43,7 @@
     loaded: Cell<bool>,
     /// When a peer last said that the state service serves it.
     peers_served: RefCell<BTreeMap<crate::ids::Member, Instant>>,
+    forwarded: forward::Forwarded,
     stats: routes::Stats,
 }
 
@@ -77,6 +79,7 @@
         workers: Client::new(REPORT_LIMIT),
         loaded: Cell::new(false),
         peers_served: RefCell::default(),
+        forwarded: forward::Forwarded::default(),
         stats: routes::Stats::default(),
         config,
         incarnation,
@@ -230,6 +233,26 @@
             }
             return;
         }
+        let message = match message {
+            Message::Ask {
+                id,
+                post,
+                path,
+                body,
+            } => {
+                let node = self.clone();
+                let from = from.clone();
+                runtime::spawn(
+                    async move { forward::answer(node, from, id, post, path, body).await },
+                );
+                return;
+            }
+            Message::Reply { id, status, body } => {
+                self.forwarded.settle(id, status, body);
+                return;
+            }
+            other => other,
+        };
         let effects = self.controller.borrow_mut().on_peer(self.now(), message);
         self.carry_out(effects);
     }
--- a/src/daemon/routes.rs
+++ b/src/daemon/routes.rs
@@ -1,6 +1,6 @@
 //! The public side: which request goes to which duty.
 
-use super::Node;
+use super::{Node, forward};
 use crate::admin::Settings;
 use crate::http::{Method, Request, Response};
 use crate::store::tokens::Class;
@@ -72,16 +72,11 @@
 
 async fn dispatch(node: &Rc<Node>, request: &Request) -> (&'static str, Response) {
     let path = request.path.split('?').next().unwrap_or("");
-    let job = path
-        .strip_prefix(path::JOBS)
-        .and_then(|rest| rest.strip_prefix('/'));
     match (request.method, path) {
         (Method::Post, path::REPORT) => ("report", report(node, &request.body)),
         (_, path::REPORT) => ("other", Response::wrong_method("POST")),
         (Method::Get, path::READY) => ("ready", ready(node)),
         (_, path::READY) => ("other", Response::wrong_method("GET")),
-        (Method::Post, path::JOBS) => ("submit", node.intake.submit(&request.body).await),
-        (_, path::JOBS) => ("other", Response::wrong_method("POST")),
         (Method::Get, ADMIN_STATUS) => ("admin", status(node)),
         (_, ADMIN_STATUS) => ("other", Response::wrong_method("GET")),
         (Method::Get, ADMIN_SETTINGS) => {
@@ -90,20 +85,38 @@
         }
         (Method::Put, ADMIN_SETTINGS) => ("admin", change(node, &request.body).await),
         (_, ADMIN_SETTINGS) => ("other", Response::wrong_method("GET, PUT")),
-        (method, _) => match job.map(|j| j.split_once('/').unwrap_or((j, ""))) {
-            Some((id, "")) if !id.is_empty() && !path.ends_with('/') => match method {
-                Method::Get => ("poll", node.intake.poll(id).await),
-                _ => ("other", Response::wrong_method("GET")),
-            },
-            Some((id, path::CANCEL)) => match method {
-                Method::Post => ("cancel", node.intake.cancel(id).await),
-                _ => ("other", Response::wrong_method("POST")),
-            },
-            _ => ("other", Response::error(404, "no such path")),
+        _ => match user_request(node, request).await {
+            // Not for us to decide, perhaps for a peer.
+            Some(response) if response.status == 503 => {
+                let forwarded = forward::ask(node, request).await;
+                ("user", forwarded.unwrap_or(response))
+            }
+            Some(response) => ("user", response),
+            None => ("other", Response::error(404, "no such path")),
         },
     }
 }
 
+/// Submissions, polls and withdrawals; `None` for other paths.
+pub async fn user_request(node: &Node, request: &Request) -> Option<Response> {
+    let path = request.path.split('?').next().unwrap_or("");
+    let rest = path.strip_prefix(path::JOBS)?;
+    if rest.is_empty() {
+        return Some(match request.method {
+            Method::Post => node.intake.submit(&request.body).await,
+            _ => Response::wrong_method("POST"),
+        });
+    }
+    let job = rest.strip_prefix('/').filter(|job| !job.is_empty())?;
+    match (request.method, job.split_once('/')) {
+        (Method::Get, None) => Some(node.intake.poll(job).await),
+        (_, None) => Some(Response::wrong_method("GET")),
+        (Method::Post, Some((id, path::CANCEL))) => Some(node.intake.cancel(id).await),
+        (_, Some((_, path::CANCEL))) => Some(Response::wrong_method("POST")),
+        _ => None,
+    }
+}
+
 fn report(node: &Rc<Node>, body: &[u8]) -> Response {
     let report = match Report::parse(body) {
         Ok(report) => report,
--- a/src/peers/messages.rs
+++ b/src/peers/messages.rs
@@ -17,7 +17,10 @@
     /// Leader to holder: place these tasks of a job inside the block.
     Allot(Allotment),
     /// Holder to leader: these will not be placed; certain, not a guess.
-    Refused { fence: Revision, runs: Vec<Run> },
+    Refused {
+        fence: Revision,
+        runs: Vec<Run>,
+    },
     /// Holder to leader: a placement was dropped, on proof.
     Ended(Ended),
     /// Leader to holder: stop a task, for a preemption or to drain its machine.
@@ -26,6 +29,18 @@
         run: Run,
         grace: Span,
     },
+    /// A user's request that the sender can't decide: the state service does not serve it.
+    Ask {
+        id: u64,
+        post: bool,
+        path: String,
+        body: Vec<u8>,
+    },
+    Reply {
+        id: u64,
+        status: u16,
+        body: Vec<u8>,
+    },
     /// Whether the sender is served by the state service.
     StoreUp(bool),
     /// Holder to leader: what it knows of its machines.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -8,4 +8,4 @@
 mod scheduler;
 
 pub use order::service_order;
-pub use scheduler::{Effect, Scheduler, Shortage, replicas};
+pub use scheduler::{Effect, Scheduler, Shortage, replicas, spare_replicas};
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -42,6 +42,8 @@
 const HEALTH_AGE: Span = Span(5000);
 /// A preemption that has freed nothing by then is forgotten.
 const PREEMPT: Span = Span(10_000);
+/// Replicas for which room is kept at least.
+const SPARE_REPLICAS: u64 = 2;
 /// Tasks of one allotment.
 const BATCH: usize = 400;
 
@@ -112,6 +114,7 @@
     free: Amounts,
     images: Vec<&'a str>,
     replicas: usize,
+    replicas_use: Amounts,
 }
 
 impl Scheduler {
@@ -238,13 +241,15 @@
             }
             let before: Vec<Amounts> = candidates.iter().map(|c| c.free).collect();
             let mut zones = ZoneRule::new(job, already, replica);
-            let held = reserve
-                .filter(|_| spec.kind != Kind::Service)
-                .map(|(at, amounts)| {
-                    let kept = candidates[at].free;
-                    candidates[at].free = kept - amounts;
-                    (at, kept - candidates[at].free)
-                });
+            let services = spec.kind == Kind::Service;
+            let mut held = vec![Amounts::default(); candidates.len()];
+            if !services {
+                for ((c, amounts), held) in candidates.iter_mut().zip(&reserve).zip(&mut held) {
+                    let free = c.free;
+                    c.free = free - *amounts;
+                    *held = free - c.free;
+                }
+            }
             let order = self.preference(id, job, &zones, &candidates);
             let mut open = open.into_iter().peekable();
             let listed: Vec<(BlockId, MachineId)> = order
@@ -290,8 +295,8 @@
                     break;
                 }
             }
-            if let Some((at, amounts)) = held {
-                candidates[at].free = candidates[at].free + amounts;
+            for (c, amounts) in candidates.iter_mut().zip(held) {
+                c.free = c.free + amounts;
             }
             let left = open.count() as u64;
             if left > 0 {
@@ -446,7 +451,8 @@
                 room,
                 free: room - used,
                 images: machine.images.iter().map(|(i, _)| i.as_str()).collect(),
-                replicas: replicas(machine, replica),
+                replicas: replicas(machine, replica).0,
+                replicas_use: replicas(machine, replica).1,
             });
         }
         list
@@ -496,37 +502,30 @@
         order.into_iter().map(|(_, at)| at).collect()
     }
 
-    /// Room that only replicas may take, on the machine where most of them are: there the next
+    /// Room that only replicas may take, on the machines where most of them are: there the next
     /// one starts at once, and nothing has to be thrown away for it.
-    fn reserve(&self, replica: &Replica, candidates: &[Candidate<'_>]) -> Option<(usize, Amounts)> {
-        let (mut total, mut largest) = (0, Amounts::default());
-        for job in replica
-            .jobs
-            .values()
-            .filter(|j| j.spec.kind == Kind::Service)
-        {
-            let need = job.spec.need();
-            total += need.cpus * u64::from(job.spec.tasks);
-            if need.cpus > largest.cpus {
-                largest = need;
-            }
-        }
-        if largest.cpus == 0 {
-            return None;
-        }
-        let spare = (total as f64 * replica.settings().service_spare) as u64;
-        let count = spare.div_ceil(largest.cpus).max(1);
-        let at = candidates
-            .iter()
-            .enumerate()
-            .filter(|(_, c)| !c.spot && largest.fits(c.room))
-            .max_by_key(|(_, c)| (c.replicas, std::cmp::Reverse(c.id)))
-            .map(|(at, _)| at)?;
-        let mut count = count;
-        while count > 1 && !largest.times(count).fits(candidates[at].room) {
-            count -= 1;
+    fn reserve(&self, replica: &Replica, candidates: &[Candidate<'_>]) -> Vec<Amounts> {
+        let mut reserve = vec![Amounts::default(); candidates.len()];
+        let Some((need, mut count)) = spare_replicas(replica) else {
+            return reserve;
+        };
+        let mut order: Vec<usize> = (0..candidates.len())
+            .filter(|at| !candidates[*at].spot)
+            .collect();
+        order.sort_by_key(|at| {
+            (
+                std::cmp::Reverse(candidates[*at].replicas),
+                candidates[*at].id,
+            )
+        });
+        for at in order {
+            let here = need
+                .count_in(candidates[at].room - candidates[at].replicas_use)
+                .min(count);
+            reserve[at] = need.times(here);
+            count -= here;
         }
-        Some((at, largest.times(count)))
+        reserve
     }
 
     /// Replicas to stop on machines that are on their way out, where another machine has room
@@ -660,8 +659,8 @@
     }
 }
 
-/// How many replicas of services a machine has.
-pub fn replicas(machine: &LiveMachine, replica: &Replica) -> usize {
+/// How many replicas of services a machine has, and what they use.
+pub fn replicas(machine: &LiveMachine, replica: &Replica) -> (usize, Amounts) {
     let service = |p: &&PlacedJob| {
         replica
             .jobs
@@ -669,7 +668,26 @@
             .is_some_and(|j| j.spec.kind == Kind::Service)
     };
     let placed = machine.record.jobs.iter().filter(service);
-    placed.map(|p| p.tasks.len()).sum()
+    placed.fold((0, Amounts::default()), |(n, sum), p| {
+        (n + p.tasks.len(), sum + p.need.times(p.tasks.len() as u64))
+    })
+}
+
+/// The replicas for which room is kept: the largest need among the services, and how many.
+pub fn spare_replicas(replica: &Replica) -> Option<(Amounts, u64)> {
+    let (mut total, mut largest) = (0, Amounts::default());
+    for job in replica.jobs.values() {
+        if job.spec.kind == Kind::Service {
+            let need = job.spec.need();
+            total += need.cpus * u64::from(job.spec.tasks);
+            if need.cpus > largest.cpus {
+                largest = need;
+            }
+        }
+    }
+    let spare = (total as f64 * replica.settings().service_spare) as u64;
+    let count = spare.checked_div(largest.cpus)?.max(SPARE_REPLICAS);
+    Some((largest, count))
 }
 
 /// Stops a task, and with a task of a gang all of them: they can only save together.
