--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -372,7 +372,11 @@
                 cpus += room;
                 steady_cpus += if machine.record.spot { 0 } else { room };
                 let used = machine.record.used().cpus;
-                let (replicas, _) = replicas(machine, replica);
+                let (replicas, in_use) = replicas(machine, replica);
+                // Moving replicas costs them a moment: only where little is moved for much.
+                if 4 * in_use.cpus > room {
+                    continue;
+                }
                 staying.push((machine.record.spot, replicas, used, room, id.clone()));
             }
         }
@@ -603,7 +607,9 @@
                     } else {
                         machine_type.price
                     };
-                    let cost = price * left.div_ceil(per) as f64 / left as f64;
+                    // Others will join a replica; a batch leaves with its last task.
+                    let tasks = if shortage.together { per } else { left };
+                    let cost = price * tasks.div_ceil(per) as f64 / tasks as f64;
                     let here = replica
                         .machines
                         .values()
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -113,6 +113,7 @@
     room: Amounts,
     free: Amounts,
     images: Vec<&'a str>,
+    fetch_gb_per_s: f64,
     replicas: usize,
     replicas_use: Amounts,
 }
@@ -430,8 +431,8 @@
         for (id, machine) in &replica.machines {
             let record = &machine.record;
             let block = id.block(self.config.blocks());
-            let (Some(room), Some(lease)) = (
-                replica.machine_type(&record.type_name).map(|t| t.room()),
+            let (Some(machine_type), Some(lease)) = (
+                replica.machine_type(&record.type_name),
                 replica.blocks.get(&block),
             ) else {
                 continue;
@@ -439,6 +440,7 @@
             if !self.usable(now, id, replica) {
                 continue;
             }
+            let room = machine_type.room();
             let used = record.used() + promised.get(id).copied().unwrap_or_default();
             list.push(Candidate {
                 id,
@@ -449,6 +451,7 @@
                 zone: &record.zone,
                 spot: record.spot,
                 room,
+                fetch_gb_per_s: machine_type.fetch_gb_per_s.max(0.01),
                 free: room - used,
                 images: machine.images.iter().map(|(i, _)| i.as_str()).collect(),
                 replicas: replicas(machine, replica).0,
@@ -487,8 +490,14 @@
                     Kind::Service => std::cmp::Reverse(c.replicas),
                     _ => std::cmp::Reverse(0),
                 };
+                let fetch = if cached {
+                    0.0
+                } else {
+                    spec.image_gb / c.fetch_gb_per_s
+                };
                 let key = (
-                    !cached,
+                    // Whole seconds, so that small differences don't scatter the work.
+                    fetch.ceil() as u64,
                     company,
                     // Work that may be lost goes to cheap machines.
                     !c.spot,
