Replicas take the place of lower work where their image is

Cause: portal and chart replicas were started on machines that had to fetch their image (7 to 15 s) although lower work ran where it was. A new leader no longer drains in its first seconds.

--- a/src/cloud/demand.rs
+++ b/src/cloud/demand.rs
@@ -40,8 +40,8 @@
     pub work: f64,
 }
 
-/// Fetching the image and the way there and back.
-const OVERHEAD: f64 = 6.0;
+/// The way there and back. The image's fetch counts half: later tasks find it there.
+const OVERHEAD: f64 = 3.0;
 /// The part of a task's time that is kept in hand.
 const MARGIN: f64 = 0.6;
 /// What can't be in time any more is still to be done, within about this time.
@@ -84,6 +84,11 @@
 pub fn load(wall: Wall, replica: &Replica, config: &Config) -> (Load, Vec<Batch>) {
     let mut load = Load::default();
     let mut batches = Vec::new();
+    let types = replica.catalog.iter().flat_map(|c| &c.value.types);
+    let fetch = types
+        .map(|t| t.fetch_gb_per_s)
+        .fold(1.0, f64::min)
+        .max(0.01);
     let mut busy = 0.0;
     for (_, job) in service_order(config, replica) {
         let spec = &job.spec;
@@ -95,7 +100,9 @@
         let limit = config.teams.get(&spec.team).map_or(0, |t| t.limit.cpus);
         let left = spec.tasks.saturating_sub(job.done_count());
         let running = (job.placed.len() as u32).min(left);
-        let task = job.plan.as_ref().map_or(spec.estimate_s, |p| p.predicted_s) + OVERHEAD;
+        let task = job.plan.as_ref().map_or(spec.estimate_s, |p| p.predicted_s)
+            + OVERHEAD
+            + 0.5 * spec.image_gb / fetch;
         let width = (need.cpus * u64::from(left)).min(limit) as f64;
         let age = wall.0.saturating_sub(job.accepted.0) as f64 / 1000.0;
         // Without a deadline there is no hurry, but an end.
--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -398,7 +398,12 @@
             .cloned()
             .collect();
         let short = scheduler.shortages.iter().any(|s| s.tasks > 0);
-        if !short && now >= self.next_return {
+        // A new leader first looks on for a while.
+        let seen = self
+            .recent
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) + Span(1000) > window);
+        if !short && seen && now >= self.next_return {
             staying.sort();
             let next = staying.iter().find(|(spot, _, _, room, _)| {
                 cpus >= peak.total() + spare + room
@@ -496,6 +501,7 @@
                 seconds: 0.0,
                 priority: job.spec.priority,
                 together: true,
+                cached_only: false,
             });
         }
         // What must run all at once comes first: the rest shares what is left.
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -13,7 +13,7 @@
 use crate::peers::{Allotment, End, Ended, MachineHealth, Message, attempt};
 use crate::store::records::PlacedJob;
 use crate::store::replica::{LiveJob, LiveMachine, Replica};
-use crate::wire::{Kind, Priority, Why};
+use crate::wire::{JobSpec, Kind, Priority, Why};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 
@@ -34,6 +34,8 @@
     pub priority: Priority,
     /// All tasks at the same time: a service or a gang.
     pub together: bool,
+    /// Only a machine that has the image will do.
+    pub cached_only: bool,
 }
 
 /// An allotment without an answer for so long is voided by rewriting its block.
@@ -44,6 +46,10 @@
 const PREEMPT: Span = Span(10_000);
 /// Replicas for which room is kept at least.
 const SPARE_REPLICAS: u64 = 2;
+/// Seconds of fetching that a replica is spared if possible.
+const QUICK: f64 = 0.8;
+/// How long it waits for the place that is being made.
+const AWAIT: Span = Span(1200);
 /// Tasks of one allotment.
 const BATCH: usize = 400;
 
@@ -94,6 +100,8 @@
     pub faults: Faults,
     gangs: Gangs,
     preempted: HashMap<Run, Time>,
+    /// Services for which a place with their image is being made.
+    awaiting: BTreeMap<JobId, Time>,
     renewed: BTreeMap<BlockId, Time>,
     pub shortages: Vec<Shortage>,
     pub wall: Wall,
@@ -118,6 +126,12 @@
     replicas_use: Amounts,
 }
 
+impl Candidate<'_> {
+    fn has_image(&self, spec: &JobSpec) -> bool {
+        self.images.contains(&spec.image.as_str())
+    }
+}
+
 impl Scheduler {
     pub fn new(config: &Config) -> Self {
         Self {
@@ -128,6 +142,7 @@
             faults: Faults::default(),
             gangs: Gangs::default(),
             preempted: HashMap::new(),
+            awaiting: BTreeMap::new(),
             renewed: BTreeMap::new(),
             shortages: Vec::new(),
             wall: Wall(0),
@@ -206,6 +221,7 @@
         waiting.sort_by_cached_key(|(id, job)| rank(id, job, within.contains(*id)));
         let reserve = self.reserve(replica, &candidates);
         let mut shortages = Vec::new();
+        let mut quick = Vec::new();
         let mut allotments: Vec<Outgoing> = Vec::new();
         for (id, job) in waiting {
             let spec = &job.spec;
@@ -252,6 +268,39 @@
                 }
             }
             let order = self.preference(id, job, &zones, &candidates);
+            // A replica that would have to fetch its image rather takes the place of lower work
+            // where the image is.
+            let slow = order.first().is_some_and(|at| {
+                let c = &candidates[*at];
+                !c.has_image(spec) && spec.image_gb / c.fetch_gb_per_s > QUICK
+            });
+            if services && slow {
+                let asked = self.awaiting.get(id).copied();
+                if asked.is_some_and(|at| now.since(at) < AWAIT) {
+                    continue;
+                }
+                let lower = |run: &Run, _: &PlacedJob| {
+                    let victim = replica.jobs.get(&run.task.job)?.spec.priority;
+                    (victim < spec.priority).then_some(victim)
+                };
+                let place = candidates
+                    .iter()
+                    .filter(|c| c.has_image(spec))
+                    .any(|c| victims(c, spec, replica, lower).is_some());
+                if asked.is_none() && place {
+                    self.awaiting.insert(id.clone(), now);
+                    quick.push(Shortage {
+                        job: id.clone(),
+                        need,
+                        tasks: open.len() as u64,
+                        seconds: 0.0,
+                        priority: spec.priority,
+                        together: true,
+                        cached_only: true,
+                    });
+                    continue;
+                }
+            }
             let mut open = open.into_iter().peekable();
             let listed: Vec<(BlockId, MachineId)> = order
                 .iter()
@@ -278,6 +327,7 @@
                 if runs.is_empty() {
                     continue;
                 }
+                tracing::debug!(job = %id, machine = %candidate.id, tasks = runs.len(), image = %spec.image, cached = candidate.has_image(spec), age_ms = self.wall.0.saturating_sub(job.accepted.0), "allotted");
                 let allotment = Allotment {
                     block: candidate.block,
                     fence: candidate.fence,
@@ -308,6 +358,7 @@
                     seconds: job.plan.as_ref().map_or(spec.estimate_s, |p| p.predicted_s),
                     priority: spec.priority,
                     together: spec.kind != Kind::Array,
+                    cached_only: false,
                 });
             }
             if left > 0 && gang {
@@ -328,7 +379,8 @@
                 allotments.push(outgoing);
             }
         }
-        let mut stops = self.preemptions(replica, &shortages, &candidates, &accounts, &within);
+        quick.extend(shortages.iter().cloned());
+        let mut stops = self.preemptions(replica, &quick, &candidates, &accounts, &within);
         stops.extend(self.moves(replica, &candidates));
         drop(candidates);
         for (machine, run) in stops {
@@ -400,6 +452,8 @@
         self.health
             .retain(|id, _| replica.machines.contains_key(id));
         self.gangs.retain(&replica.jobs);
+        self.awaiting
+            .retain(|id, at| replica.jobs.contains_key(id) && now.since(*at) < Span(10 * AWAIT.0));
         self.faults.retain(
             |job| replica.jobs.contains_key(job),
             |machine| replica.machines.contains_key(machine),
@@ -484,7 +538,7 @@
                     && zone.as_ref().is_none_or(|z| z == c.zone)
             })
             .map(|(at, c)| {
-                let cached = c.images.contains(&spec.image.as_str());
+                let cached = c.has_image(spec);
                 // Replicas gather on few machines, so that the others can empty.
                 let company = match spec.kind {
                     Kind::Service => std::cmp::Reverse(c.replicas),
@@ -558,7 +612,7 @@
                 }
                 let target = candidates.iter().enumerate().position(|(at, c)| {
                     spec.allows(c.type_name, c.zone, c.spot)
-                        && c.images.contains(&spec.image.as_str())
+                        && c.has_image(spec)
                         && placed.need.fits(free[at])
                 });
                 if let Some(at) = target {
@@ -603,49 +657,25 @@
                     coming = coming - shortage.need;
                     continue;
                 }
-                let mut best: Option<((bool, u64), &MachineId, Vec<Run>)> = None;
-                for c in candidates {
-                    if !spec.allows(c.type_name, c.zone, c.spot) || !shortage.need.fits(c.room) {
-                        continue;
-                    }
-                    let Some(machine) = replica.machines.get(c.id) else {
-                        continue;
-                    };
-                    let mut free = c.free;
-                    let mut victims: Vec<(Priority, Run, Amounts)> = machine
-                        .record
-                        .runs()
-                        .filter_map(|(run, placed)| {
+                let best = candidates
+                    .iter()
+                    .filter(|c| !shortage.cached_only || c.has_image(spec))
+                    .filter_map(|c| {
+                        let fair = |run: &Run, placed: &PlacedJob| {
                             let victim = &replica.jobs.get(&run.task.job)?.spec;
-                            let lower = victim.priority < spec.priority;
                             let over = guaranteed
                                 && victim.team != spec.team
                                 && victim.priority <= spec.priority
                                 && !within.contains(&victim.id)
                                 && accounts.beyond_guarantee(&placed.team);
-                            let fair = (lower || over) && !gone.contains(&run);
-                            fair.then(|| (victim.priority, run, placed.need))
-                        })
-                        .collect();
-                    // The latest starts have done the least.
-                    victims.sort_by_key(|(p, run, _)| (*p, std::cmp::Reverse(run.attempt)));
-                    let mut chosen = Vec::new();
-                    // Where the image is, the start is at once.
-                    let cached = c.images.contains(&spec.image.as_str());
-                    let mut cost = (!cached, 0);
-                    for (_, run, need) in victims {
-                        if shortage.need.fits(free) {
-                            break;
-                        }
-                        free = free + need;
-                        cost.1 += need.cpus;
-                        chosen.push(run);
-                    }
-                    let better = best.as_ref().is_none_or(|(b, _, _)| cost < *b);
-                    if shortage.need.fits(free) && !chosen.is_empty() && better {
-                        best = Some((cost, c.id, chosen));
-                    }
-                }
+                            let fair = victim.priority < spec.priority || over;
+                            (fair && !gone.contains(run)).then_some(victim.priority)
+                        };
+                        let (cost, chosen) = victims(c, spec, replica, fair)?;
+                        // Where the image is, the start is at once.
+                        Some(((!c.has_image(spec), cost), c.id, chosen))
+                    })
+                    .min_by(|a, b| a.0.cmp(&b.0));
                 let Some((_, machine, chosen)) = best else {
                     break;
                 };
@@ -668,6 +698,38 @@
     }
 }
 
+/// The tasks to stop on a machine so that one more of a job fits, those that have done the least
+/// first, and what they use. `fair` gives the priority of what may be stopped.
+fn victims(
+    candidate: &Candidate<'_>,
+    spec: &JobSpec,
+    replica: &Replica,
+    fair: impl Fn(&Run, &PlacedJob) -> Option<Priority>,
+) -> Option<(u64, Vec<Run>)> {
+    let need = spec.need();
+    let allowed = spec.allows(candidate.type_name, candidate.zone, candidate.spot);
+    if !allowed || !need.fits(candidate.room) {
+        return None;
+    }
+    let machine = replica.machines.get(candidate.id)?;
+    let mut list: Vec<(Priority, Run, Amounts)> = machine
+        .record
+        .runs()
+        .filter_map(|(run, placed)| Some((fair(&run, placed)?, run, placed.need)))
+        .collect();
+    list.sort_by_key(|(p, run, _)| (*p, std::cmp::Reverse(run.attempt)));
+    let (mut free, mut cost, mut chosen) = (candidate.free, 0, Vec::new());
+    for (_, run, size) in list {
+        if need.fits(free) {
+            break;
+        }
+        free = free + size;
+        cost += size.cpus;
+        chosen.push(run);
+    }
+    (need.fits(free) && !chosen.is_empty()).then_some((cost, chosen))
+}
+
 /// How many replicas of services a machine has, and what they use.
 pub fn replicas(machine: &LiveMachine, replica: &Replica) -> (usize, Amounts) {
     let service = |p: &&PlacedJob| {
