--- a/src/admin/settings.rs
+++ b/src/admin/settings.rs
@@ -20,8 +20,8 @@
     pub silent_s: f64,
     /// How long an unused machine is kept.
     pub idle_s: f64,
-    /// A new machine should have this much work waiting for it.
-    pub rent_work_s: f64,
+    /// CPUs, as a part of what arrays need, kept for the next ones.
+    pub array_spare: f64,
     /// CPUs, as a part of what services use, kept free for their next starts.
     pub service_spare: f64,
 }
@@ -35,7 +35,7 @@
             lease_s: 5.0,
             silent_s: 6.0,
             idle_s: 25.0,
-            rent_work_s: 40.0,
+            array_spare: 0.15,
             service_spare: 0.15,
         }
     }
@@ -48,7 +48,7 @@
     ("lease_s", 2.0, 300.0),
     ("silent_s", 1.0, 600.0),
     ("idle_s", 1.0, 86_400.0),
-    ("rent_work_s", 0.0, 86_400.0),
+    ("array_spare", 0.0, 10.0),
     ("service_spare", 0.0, 10.0),
 ];
 
--- a/src/cloud/demand.rs
+++ b/src/cloud/demand.rs
@@ -43,7 +43,7 @@
 /// The way there and back. The image's fetch counts half: later tasks find it there.
 const OVERHEAD: f64 = 3.0;
 /// The part of a task's time that is kept in hand.
-const MARGIN: f64 = 0.6;
+const MARGIN: f64 = 0.8;
 /// What can't be in time any more is still to be done, within about this time.
 const LATE: f64 = 15.0;
 
@@ -121,6 +121,8 @@
     if let Some(first) = batches.first_mut() {
         first.work += busy;
     }
+    let spare = 1.0 + replica.settings().array_spare;
+    batches.iter_mut().for_each(|b| b.work *= spare);
     load.arrays = required(&batches) as u64;
     (load, batches)
 }
