--- a/src/admin/settings.rs
+++ b/src/admin/settings.rs
@@ -32,7 +32,7 @@
             percentile: 0.5,
             group_cap: 4,
             sample_count: 3,
-            lease_s: 5.0,
+            lease_s: 3.0,
             silent_s: 6.0,
             idle_s: 25.0,
             array_spare: 0.15,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -360,13 +360,10 @@
         self.carry_out(effects);
     }
 
-    /// Whether users are served well here. In an outage of the state service no node is better
-    /// than another, so all stay; one that is refused alone steps out.
+    /// Whether users are served here. A node that the state service refuses alone hands requests
+    /// to a peer, and in an outage no node is better than another: in both cases leaving the load
+    /// balancer's sight would only cost the time until it is seen again.
     fn is_ready(&self) -> bool {
-        if !self.loaded.get() || self.controller.borrow().replica.catalog.is_none() {
-            return false;
-        }
-        let recent = |at: &Instant| at.elapsed() < 3 * TELL;
-        self.store.is_up() || !self.peers_served.borrow().values().any(recent)
+        self.loaded.get() && self.controller.borrow().replica.catalog.is_some()
     }
 }
