--- a/src/daemon/routes.rs
+++ b/src/daemon/routes.rs
@@ -89,14 +89,22 @@
             // Not for us to decide, perhaps for a peer.
             Some(response) if response.status == 503 => {
                 let forwarded = forward::ask(node, request).await;
-                ("user", forwarded.unwrap_or(response))
+                (user_duty(request), forwarded.unwrap_or(response))
             }
-            Some(response) => ("user", response),
+            Some(response) => (user_duty(request), response),
             None => ("other", Response::error(404, "no such path")),
         },
     }
 }
 
+fn user_duty(request: &Request) -> &'static str {
+    match request.method {
+        Method::Get => "poll",
+        _ if request.path.ends_with(path::CANCEL) => "cancel",
+        _ => "submit",
+    }
+}
+
 /// Submissions, polls and withdrawals; `None` for other paths.
 pub async fn user_request(node: &Node, request: &Request) -> Option<Response> {
     let path = request.path.split('?').next().unwrap_or("");
--- a/src/workers/holder.rs
+++ b/src/workers/holder.rs
@@ -752,3 +752,161 @@
     }
     true
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::ids::Attempt;
+    use crate::store::records::{Bitmap, JobRecord};
+    use crate::wire::state::{Change, Event};
+    use rand::rngs::StdRng;
+    use rand::seq::SliceRandom;
+    use rand::{RngExt, SeedableRng};
+    use std::collections::BTreeMap;
+
+    /// A store of keys and revisions, and nothing else.
+    #[derive(Default)]
+    struct Keys {
+        revision: u64,
+        held: BTreeMap<String, Revision>,
+        writes: usize,
+        largest: usize,
+    }
+
+    impl Keys {
+        fn run(&mut self, txn: &Txn, replica: &mut Replica) -> bool {
+            let found = |key: &String| self.held.get(key).copied().unwrap_or(Revision(0));
+            if txn.conditions.iter().any(|c| found(&c.key) != c.revision) {
+                return false;
+            }
+            self.revision += 1;
+            let revision = Revision(self.revision);
+            let mut events = Vec::new();
+            for change in &txn.changes {
+                self.writes += 1;
+                let (put, delete, value) = match change {
+                    Change::Put { key, value, .. } => {
+                        self.largest = self.largest.max(value.to_string().len());
+                        self.held.insert(key.clone(), revision);
+                        (Some(key.clone()), None, value.clone())
+                    }
+                    Change::Delete { key } => {
+                        self.held.remove(key);
+                        (None, Some(key.clone()), serde_json::Value::Null)
+                    }
+                };
+                events.push(Event {
+                    put,
+                    delete,
+                    value,
+                    revision,
+                });
+            }
+            replica.apply(revision, events);
+            true
+        }
+    }
+
+    /// Two holders finish the tasks of the largest array in any order, repeat some, and work
+    /// from mirrors that lag. The plain model is a set.
+    #[test]
+    fn the_counter_of_the_largest_array_counts_each_task_once_and_releases_once() {
+        let (value_bytes, txn_ops) = (8192usize, 12usize);
+        let config = crate::config::tests::sample_config();
+        let segment_tasks = config.segment_tasks();
+        let mut spec = crate::wire::tests::spec("job-000001");
+        spec.tasks = crate::wire::MAX_TASKS;
+        let id = spec.id.clone();
+        let (mut keys_held, mut replica) = (Keys::default(), Replica::default());
+        let mut accept = Txn::default();
+        let record = JobRecord {
+            spec,
+            accepted: crate::ids::Wall(0),
+        };
+        accept.put(keys::job(&id), &record, None);
+        assert!(keys_held.run(&accept, &mut replica));
+        let mut rng = StdRng::seed_from_u64(2);
+        let mut order: Vec<u32> = (0..crate::wire::MAX_TASKS).collect();
+        order.shuffle(&mut rng);
+        let mut model = std::collections::BTreeSet::new();
+        let mut at = 0;
+        while at < order.len() {
+            let n = rng.random_range(1..=160).min(order.len() - at);
+            let mut batch = order[at..at + n].to_vec();
+            batch.push(order[rng.random_range(0..=at)]);
+            let run = |index: &u32| Run {
+                task: TaskId {
+                    job: id.clone(),
+                    index: *index,
+                },
+                attempt: Attempt(1),
+            };
+            // The shuffled batch touches more segments than one transaction has room for.
+            for part in batch.chunks(8) {
+                let runs: Vec<Run> = part.iter().map(run).collect();
+                let Some(job) = replica.jobs.get(&id) else {
+                    break;
+                };
+                let mut txn = Txn::default();
+                assert!(count_done(
+                    &mut txn,
+                    &id,
+                    job,
+                    &runs,
+                    segment_tasks,
+                    txn_ops - 1
+                ));
+                assert!(txn.changes.len() < txn_ops && txn.conditions.len() <= 4 * txn_ops);
+                assert!(keys_held.run(&txn, &mut replica));
+                model.extend(part.iter().copied());
+                let released = !replica.jobs.contains_key(&id);
+                assert_eq!(released, model.len() == order.len());
+                if !released {
+                    assert_eq!(replica.jobs[&id].done_count() as usize, model.len());
+                }
+            }
+            at += n;
+        }
+        assert!(!replica.jobs.contains_key(&id) && keys_held.largest <= value_bytes);
+    }
+
+    #[test]
+    fn an_update_from_a_lagging_mirror_fails_instead_of_losing_tasks() {
+        let mut spec = crate::wire::tests::spec("job-000001");
+        spec.tasks = 4;
+        let id = spec.id.clone();
+        let (mut keys_held, mut replica) = (Keys::default(), Replica::default());
+        let mut accept = Txn::default();
+        let record = JobRecord {
+            spec,
+            accepted: crate::ids::Wall(0),
+        };
+        accept.put(keys::job(&id), &record, None);
+        keys_held.run(&accept, &mut replica);
+        let finish = |replica: &Replica, index| {
+            let run = Run {
+                task: TaskId {
+                    job: id.clone(),
+                    index,
+                },
+                attempt: Attempt(1),
+            };
+            let mut txn = Txn::default();
+            assert!(count_done(
+                &mut txn,
+                &id,
+                &replica.jobs[&id],
+                &[run],
+                1024,
+                11
+            ));
+            txn
+        };
+        let (first, second) = (finish(&replica, 0), finish(&replica, 1));
+        assert!(keys_held.run(&first, &mut replica));
+        assert!(!keys_held.run(&second, &mut replica));
+        assert!(keys_held.run(&finish(&replica, 1), &mut replica));
+        let bits: &Bitmap = &replica.jobs[&id].segments[&0].value;
+        assert_eq!((bits.get(0), bits.get(1), bits.count()), (true, true, 2));
+    }
+}
