--- a/src/placement/gangs.rs
+++ b/src/placement/gangs.rs
@@ -3,7 +3,7 @@
 use crate::ids::{Attempt, JobId, Span, Time};
 use crate::peers::MachineHealth;
 use crate::store::replica::LiveJob;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 /// A replacement needs this much of the waiting time to be there before the others give up.
 const REPLACE_MARGIN: Span = Span(10_000);
@@ -85,7 +85,7 @@
 }
 
 /// The tasks of a gang that are neither placed nor allotted.
-pub fn missing<M>(job: &LiveJob, allotted: Option<&HashMap<u32, M>>) -> Vec<u32> {
+pub fn missing<M>(job: &LiveJob, allotted: Option<&BTreeMap<u32, M>>) -> Vec<u32> {
     (0..job.spec.tasks)
         .filter(|i| !job.placed.contains_key(i) && allotted.is_none_or(|a| !a.contains_key(i)))
         .collect()
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -14,7 +14,7 @@
 use crate::store::records::PlacedJob;
 use crate::store::replica::{LiveJob, LiveMachine, Replica};
 use crate::wire::{JobSpec, Kind, Priority, Why};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 #[derive(Debug)]
@@ -95,11 +95,11 @@
 pub struct Scheduler {
     config: Rc<Config>,
     attempts: Attempts,
-    allotted: HashMap<Run, Allotted>,
+    allotted: BTreeMap<Run, Allotted>,
     pub health: BTreeMap<MachineId, Health>,
     pub faults: Faults,
     gangs: Gangs,
-    preempted: HashMap<Run, Time>,
+    preempted: BTreeMap<Run, Time>,
     /// Services for which a place with their image is being made.
     awaiting: BTreeMap<JobId, Time>,
     renewed: BTreeMap<BlockId, Time>,
@@ -137,11 +137,11 @@
         Self {
             config: Rc::new(config.clone()),
             attempts: Attempts::default(),
-            allotted: HashMap::new(),
+            allotted: BTreeMap::new(),
             health: BTreeMap::new(),
             faults: Faults::default(),
             gangs: Gangs::default(),
-            preempted: HashMap::new(),
+            preempted: BTreeMap::new(),
             awaiting: BTreeMap::new(),
             renewed: BTreeMap::new(),
             shortages: Vec::new(),
@@ -198,8 +198,8 @@
         self.settle(now, replica, out);
         let config = self.config.clone();
         let mut accounts = Accounts::new(&config.teams, replica.team_usage());
-        let mut promised: HashMap<&MachineId, Amounts> = HashMap::new();
-        let mut taken: HashMap<&JobId, HashMap<u32, &MachineId>> = HashMap::new();
+        let mut promised: BTreeMap<&MachineId, Amounts> = BTreeMap::new();
+        let mut taken: BTreeMap<&JobId, BTreeMap<u32, &MachineId>> = BTreeMap::new();
         for (run, a) in &self.allotted {
             accounts.charge(&a.team, a.need);
             let sum = promised.entry(&a.machine).or_default();
@@ -231,7 +231,7 @@
             let room = accounts.allows(&spec.team, need);
             let (open, fixed) = if gang {
                 let open = missing(job, already);
-                let going = already.map_or(0, HashMap::len);
+                let going = already.map_or(0, BTreeMap::len);
                 let next = self.gangs.next(now, id, job, going, self.config.gang_wait);
                 if next == Next::Wait || open.len() as u64 > room {
                     continue;
@@ -244,7 +244,7 @@
             } else {
                 let mut allowed = room.min(BATCH as u64) as usize;
                 if let Some(trial) = self.faults.trial(id) {
-                    let going = job.placed.len() + already.map_or(0, HashMap::len);
+                    let going = job.placed.len() + already.map_or(0, BTreeMap::len);
                     allowed = allowed.min(trial.saturating_sub(going));
                 }
                 let open = job
@@ -479,7 +479,7 @@
         &self,
         now: Time,
         replica: &'a Replica,
-        promised: &HashMap<&MachineId, Amounts>,
+        promised: &BTreeMap<&MachineId, Amounts>,
     ) -> Vec<Candidate<'a>> {
         let mut list = Vec::new();
         for (id, machine) in &replica.machines {
@@ -526,7 +526,7 @@
     ) -> Vec<usize> {
         let spec = &job.spec;
         let zone = zones.choose(spec.need(), candidates);
-        let group: HashSet<&MachineId> = job.plan.iter().flat_map(|p| p.machines.iter()).collect();
+        let group: BTreeSet<&MachineId> = job.plan.iter().flat_map(|p| p.machines.iter()).collect();
         let need = spec.need();
         let mut order: Vec<(_, usize)> = candidates
             .iter()
@@ -641,7 +641,7 @@
                 coming = coming + job.spec.need();
             }
         }
-        let mut gone: HashSet<Run> = self.preempted.keys().cloned().collect();
+        let mut gone: BTreeSet<Run> = self.preempted.keys().cloned().collect();
         for shortage in shortages {
             let Some(job) = replica.jobs.get(&shortage.job) else {
                 continue;
@@ -766,7 +766,7 @@
     run: &Run,
     machine: &MachineId,
     replica: &Replica,
-    gone: &mut HashSet<Run>,
+    gone: &mut BTreeSet<Run>,
     stops: &mut Vec<(MachineId, Run)>,
 ) {
     let gang = replica
@@ -818,7 +818,7 @@
 }
 
 impl ZoneRule {
-    fn new(job: &LiveJob, allotted: Option<&HashMap<u32, &MachineId>>, replica: &Replica) -> Self {
+    fn new(job: &LiveJob, allotted: Option<&BTreeMap<u32, &MachineId>>, replica: &Replica) -> Self {
         let spec = &job.spec;
         let mut rule = Self {
             one: spec.one_zone,
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -16,7 +16,7 @@
 use crate::wire::{Catalog, JobSpec, MachineType};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// Images remembered for a machine; which it still caches is a guess anyway.
@@ -34,7 +34,7 @@
     pub accepted: Wall,
     pub revision: Revision,
     pub segments: BTreeMap<u32, Versioned<Bitmap>>,
-    pub placed: HashMap<u32, (MachineId, Attempt)>,
+    pub placed: BTreeMap<u32, (MachineId, Attempt)>,
     pub plan: Option<PlanRecord>,
 }
 
@@ -179,7 +179,7 @@
     }
 
     fn put_job(&mut self, id: JobId, record: JobRecord, revision: Revision) {
-        let mut placed = HashMap::new();
+        let mut placed = BTreeMap::new();
         for (machine, live) in &self.machines {
             for group in live.record.jobs.iter().filter(|g| g.job == id) {
                 for (index, attempt) in &group.tasks {
