--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -58,6 +58,7 @@
 pub struct Fleet {
     config: Config,
     term: Revision,
+    term_since: Time,
     counter: u64,
     booting: BTreeMap<MachineId, Boot>,
     failed: BTreeSet<MachineId>,
@@ -87,6 +88,7 @@
         Self {
             config: config.clone(),
             term: Revision(0),
+            term_since: Time::default(),
             counter: 0,
             booting: BTreeMap::new(),
             failed: BTreeSet::new(),
@@ -230,6 +232,7 @@
     fn enter(&mut self, term: Revision, now: Time) {
         if self.term != term {
             self.term = term;
+            self.term_since = now;
             self.counter = 0;
             self.rentals.clear();
             self.deleting.clear();
@@ -368,7 +371,7 @@
             let room = replica
                 .machine_type(&machine.record.type_name)
                 .map_or(0, |t| t.room().cpus);
-            if scheduler.usable(now, id, replica) {
+            if scheduler.present(now, id) {
                 cpus += room;
                 steady_cpus += if machine.record.spot { 0 } else { room };
                 let used = machine.record.used().cpus;
@@ -438,6 +441,11 @@
 
     /// Rents for what found no room, less what is already on its way.
     fn rent(&mut self, now: Time, replica: &Replica, scheduler: &mut Scheduler) {
+        // What an earlier leader has just rented shows in the list only after its lag: until
+        // then a new one would rent it all again.
+        if now.since(self.term_since) < self.config.list_lag + Span(1500) {
+            return;
+        }
         let Some(catalog) = self
             .catalog
             .as_ref()
--- a/src/config.rs
+++ b/src/config.rs
@@ -49,6 +49,7 @@
     pub value_bytes: usize,
     pub txn_ops: usize,
     pub cloud_rps: f64,
+    pub list_lag: Span,
     pub sockets: usize,
 }
 
@@ -118,6 +119,7 @@
 #[derive(Deserialize)]
 struct FileCloud {
     rps: f64,
+    list_lag_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -249,6 +251,10 @@
             value_bytes: (params.state.value_kb * 1024.0) as usize,
             txn_ops: params.state.txn_ops,
             cloud_rps: positive("params.cloud.rps", params.cloud.rps)?,
+            list_lag: Span::from_secs(not_negative(
+                "params.cloud.list_lag_s",
+                params.cloud.list_lag_s,
+            )?),
             sockets: params.quota.sockets,
         })
     }
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -475,6 +475,15 @@
         healthy && !self.faults.shunned(now, id) && !self.leaving.contains(id)
     }
 
+    /// Whether a machine counts as capacity. One whose holder has just changed is of no use for
+    /// a moment, but it is there: renting for it would be renting twice.
+    pub fn present(&self, now: Time, id: &MachineId) -> bool {
+        let lost = self.health.get(id).is_some_and(|h| {
+            h.last.notice.is_some() || h.last.silent >= self.config.report + Span(2000)
+        });
+        !lost && !self.faults.shunned(now, id) && !self.leaving.contains(id)
+    }
+
     fn candidates<'a>(
         &self,
         now: Time,
