--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -88,6 +88,11 @@
         None
     }
 
+    #[cfg(test)]
+    pub fn idle_count(&self, addr: SocketAddr) -> usize {
+        self.idle.borrow().get(&addr).map_or(0, Vec::len)
+    }
+
     fn keep(&self, addr: SocketAddr, stream: TcpStream) {
         let mut idle = self.idle.borrow_mut();
         if idle.len() >= IDLE_ADDRESSES && !idle.contains_key(&addr) {
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -49,6 +49,47 @@
     assert!(text.expect("text").contains("\r\nRetry-After: 3\r\n"));
 }
 
+/// Over the limit connections are closed at once; once others end, new ones are served.
+#[test]
+fn open_connections_are_bounded_and_so_are_idle_ones_of_the_client() {
+    use crate::runtime::{self, TcpListener, TcpStream};
+    runtime::run(async {
+        let listener = TcpListener::bind("127.0.0.1:0".parse().expect("addr")).expect("bind");
+        let addr = listener.local_addr().expect("addr");
+        let mut scope = runtime::Scope::default();
+        let answer = |_| async { Response::new(200, b"{}".to_vec()) };
+        scope.spawn(super::serve(listener, 2, answer));
+        let request = b"GET / HTTP/1.1\r\n\r\n";
+        let mut held = Vec::new();
+        for _ in 0..2 {
+            let mut stream = TcpStream::connect(addr).await.expect("connect");
+            stream.write_all(request).await.expect("write");
+            let mut buffer = [0; 256];
+            assert!(stream.read(&mut buffer).await.expect("read") > 0);
+            held.push(stream);
+        }
+        let mut third = TcpStream::connect(addr).await.expect("connect");
+        let mut buffer = [0; 256];
+        assert!(!matches!(third.read(&mut buffer).await, Ok(n) if n > 0));
+        drop(held);
+        let client = super::Client::new(1000);
+        let call = || {
+            let client = client.clone();
+            let limit = std::time::Duration::from_secs(20);
+            async move { client.call(addr, super::Method::Get, "/", b"", limit).await }
+        };
+        // The server sees the others end only at its next turn.
+        while call().await.is_err() {
+            runtime::sleep(std::time::Duration::from_millis(1)).await;
+        }
+        for _ in 0..30 {
+            assert_eq!(call().await.map(|r| r.status), Ok(200));
+        }
+        assert_eq!(client.idle_count(addr), 1);
+    })
+    .expect("loop");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, rng_seed: proptest::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
     #[test]
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -382,6 +382,7 @@
         quick.extend(shortages.iter().cloned());
         let mut stops = self.preemptions(replica, &quick, &candidates, &accounts, &within);
         stops.extend(self.moves(replica, &candidates));
+        stops.extend(self.savings(replica));
         drop(candidates);
         for (machine, run) in stops {
             let block = machine.block(self.config.blocks());
@@ -605,7 +606,8 @@
     fn moves(&self, replica: &Replica, candidates: &[Candidate<'_>]) -> Vec<(MachineId, Run)> {
         let mut stops: Vec<(MachineId, Run)> = Vec::new();
         let mut free: Vec<Amounts> = candidates.iter().map(|c| c.free).collect();
-        for id in &self.leaving {
+        let noticed = self.health.iter().filter(|(_, h)| h.last.notice.is_some());
+        for id in self.leaving.iter().chain(noticed.map(|(id, _)| id)) {
             let Some(machine) = replica.machines.get(id) else {
                 continue;
             };
@@ -633,6 +635,27 @@
         stops
     }
 
+    /// Tasks that can save, on machines that are about to be taken: stopped in time, they go on
+    /// elsewhere from where they were.
+    fn savings(&self, replica: &Replica) -> Vec<(MachineId, Run)> {
+        let mut stops = Vec::new();
+        let mut gone: BTreeSet<Run> = self.preempted.keys().cloned().collect();
+        for (id, health) in &self.health {
+            let (Some(left), Some(machine)) = (health.last.notice, replica.machines.get(id)) else {
+                continue;
+            };
+            for (run, _) in machine.record.runs() {
+                let saves = replica.jobs.get(&run.task.job).is_some_and(|j| {
+                    j.spec.checkpoint_s > 0.0 && j.spec.save_s + 1.0 < left.secs()
+                });
+                if saves {
+                    stop_whole(&run, id, replica, &mut gone, &mut stops);
+                }
+            }
+        }
+        stops
+    }
+
     /// Tasks to stop so that those of a higher priority, or within a guarantee, get room.
     fn preemptions(
         &self,
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -171,6 +171,27 @@
     assert!(!scene.scheduler.present(NOW, &id));
 }
 
+#[test]
+fn before_a_machine_is_taken_what_can_save_is_stopped_and_the_rest_goes_on() {
+    let mut scene = Scene::new();
+    let saving = scene.job(1, |s| {
+        s.tasks = 1;
+        s.checkpoint_s = 10.0;
+        s.save_s = 3.0;
+    });
+    let plain = scene.job(2, |s| s.tasks = 1);
+    let id = scene.machine(1, "a", true, &[(&saving, 0, 1), (&plain, 0, 2)]);
+    let mut noticed = scene.health(&id);
+    noticed.notice = Some(Span(3500));
+    scene.scheduler.on_health(NOW, vec![noticed.clone()]);
+    assert!(scene.drive().1.is_empty(), "too late to save");
+    noticed.notice = Some(Span(8000));
+    scene.scheduler.on_health(NOW, vec![noticed]);
+    let (_, stops) = scene.drive();
+    assert_eq!(stops.len(), 1);
+    assert_eq!(stops[0].task.job, saving.id);
+}
+
 #[test]
 fn only_lower_work_and_work_beyond_a_guarantee_makes_room() {
     // Blue borrows: 8 CPUs guaranteed to red, 16 to blue, 24 placed.
