--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -262,11 +262,16 @@
             .retain(|id, b| !replica.machines.contains_key(id) && now.since(b.seen) < Span(30_000));
         self.deleted.retain(|_, at| now.since(*at) < Span(60_000));
         self.no_capacity.retain(|_, until| now < *until);
+        // A machine whose record can't be removed yet is gone all the same: once is enough.
         for id in self.given_up(now, replica, scheduler) {
-            self.deleting.entry(id).or_insert(now);
+            if !self.deleted.contains_key(&id) {
+                self.deleting.entry(id).or_insert(now);
+            }
         }
         for id in self.unused(now, replica, scheduler) {
-            self.deleting.entry(id).or_insert(now);
+            if !self.deleted.contains_key(&id) {
+                self.deleting.entry(id).or_insert(now);
+            }
         }
         // A record that came back with a late report, or whose removal failed, goes as well.
         for id in self.deleted.keys() {
@@ -645,3 +650,74 @@
         self.booting.len()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::tests::sample_config;
+    use crate::peers::MachineHealth;
+    use crate::store::keys;
+    use crate::store::records::{BlockRecord, MachineRecord};
+    use crate::wire::state::Item;
+
+    /// Found in an incident: while the state service was down, a machine that had gone silent
+    /// was deleted at every turn, since its record could not be removed.
+    #[test]
+    fn a_silent_machine_is_deleted_once_however_long_its_record_stays() {
+        let config = sample_config();
+        let mut replica = Replica::default();
+        let id = MachineId::from("vm-0001");
+        let block = id.block(config.blocks());
+        let lease = BlockRecord {
+            holder: "c0".into(),
+            incarnation: crate::ids::Incarnation(1),
+            term: Revision(1),
+        };
+        let machine = MachineRecord {
+            addr: "1.1.1.1:1".into(),
+            type_name: "t".into(),
+            zone: "a".into(),
+            spot: false,
+            jobs: Vec::new(),
+        };
+        let values = [
+            (keys::block(block), serde_json::to_value(&lease)),
+            (keys::machine(&id), serde_json::to_value(&machine)),
+        ];
+        for (key, value) in values {
+            let value = value.expect("json");
+            replica.load(Item {
+                key,
+                value,
+                revision: Revision(5),
+                grant: None,
+            });
+        }
+        let mut scheduler = Scheduler::new(&config);
+        let mut fleet = Fleet::new(&config);
+        let mut deletions = 0;
+        for turn in 0..50 {
+            let now = Time(10_000 + turn * 400);
+            scheduler.on_health(
+                now,
+                vec![MachineHealth {
+                    machine: id.clone(),
+                    fence: Revision(5),
+                    silent: Span(30_000),
+                    confirmed: true,
+                    notice: None,
+                    gangs: Vec::new(),
+                }],
+            );
+            let mut out = Vec::new();
+            fleet.drive(now, Revision(1), &replica, &mut scheduler, &mut out);
+            for effect in out {
+                if let Effect::Delete(ids) = effect {
+                    deletions += 1;
+                    fleet.on_deleted(now, &ids, true, &mut Vec::new());
+                }
+            }
+        }
+        assert_eq!(deletions, 1);
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -108,6 +108,10 @@
 }
 
 async fn grants(node: Rc<Node>) {
+    // Whoever holds a grant is given blocks: not before the mirror shows what is in them.
+    while !node.loaded.get() {
+        runtime::sleep(Duration::from_millis(10)).await;
+    }
     let life = {
         let node = node.clone();
         move || {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -182,7 +182,7 @@
     pub async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
         self.admit(Class::Grant, 0);
         let path = page_path(prefix, after);
-        match self.call(Method::Get, &path, b"", 4 * CALL).await {
+        match self.call(Method::Get, &path, b"", 2 * CALL).await {
             Ok((200, body)) => serde_json::from_slice(&body).map_err(|_| StoreError::Unavailable),
             _ => Err(StoreError::Unavailable),
         }
