--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -332,9 +332,13 @@
         }
         for (count, silent) in by_holder.into_values() {
             // When most of a holder's machines are silent, it is the holder that hears nothing.
-            if silent.len() <= 1.max(count / 2) {
-                list.extend(silent.into_iter().cloned());
-            }
+            let doubtful = silent.len() > 1.max(count / 2);
+            // But most may really be gone: after a while they are given up all the same, or
+            // their work would wait for ever (simulated seed 45).
+            let given_up = silent.into_iter().filter(|id| {
+                !doubtful || scheduler.health[*id].last.silent >= Span(4 * patience.0)
+            });
+            list.extend(given_up.cloned());
         }
         list
     }
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -50,8 +50,6 @@
 const QUICK: f64 = 0.8;
 /// How long it waits for the place that is being made.
 const AWAIT: Span = Span(1200);
-/// Replicas gather on about so many machines.
-const REPLICA_MACHINES: usize = 4;
 /// Tasks of one allotment.
 const BATCH: usize = 400;
 
@@ -540,8 +538,6 @@
         let zone = zones.choose(spec.need(), candidates);
         let group: BTreeSet<&MachineId> = job.plan.iter().flat_map(|p| p.machines.iter()).collect();
         let need = spec.need();
-        let replicas: usize = candidates.iter().map(|c| c.replicas).sum();
-        let most_replicas = replicas.div_ceil(REPLICA_MACHINES).max(REPLICA_MACHINES);
         let mut order: Vec<(_, usize)> = candidates
             .iter()
             .enumerate()
@@ -555,8 +551,6 @@
                 let cached = c.has_image(spec);
                 // Replicas gather on few machines, so that the others can empty.
                 let company = match spec.kind {
-                    // Not all on one: its loss would take them all.
-                    Kind::Service if c.replicas >= most_replicas => std::cmp::Reverse(0),
                     Kind::Service => std::cmp::Reverse(c.replicas),
                     _ => std::cmp::Reverse(0),
                 };
