A machine's first placement writes its record; surplus machines go several at a time

Now a machine that answers stands in the mirrors alone until its first placement; up to a fiftieth of the fleet is emptied at a time; what comes to a machine within 0.2 s shares a change.

--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -31,6 +31,8 @@
 const CATALOG: Span = Span(60_000);
 const NO_CAPACITY: Span = Span(15_000);
 const RETRY: Span = Span(1500);
+/// At most one in so many machines is emptied at a time.
+const RETURN_PART: usize = 50;
 const MOST_RENTED: u32 = 50;
 const MOST_DELETED: usize = 100;
 /// Past this many boot times a machine will not come up any more.
@@ -417,13 +419,19 @@
             .is_some_and(|(at, _)| now.since(*at) + Span(1000) > window);
         if !short && seen && now >= self.next_return {
             staying.sort();
-            let next = staying.iter().find(|(spot, _, _, room, _)| {
-                cpus >= peak.total() + spare + room
-                    && (*spot || steady_cpus >= peak.services + spare + room)
-            });
-            if let Some((.., id)) = next {
+            // A part of the fleet at a time: a small one gives up one, a large one several.
+            let mut most = 1 + staying.len() / RETURN_PART;
+            for (spot, _, _, room, id) in staying {
+                let needless = cpus >= peak.total() + spare + room
+                    && (spot || steady_cpus >= peak.services + spare + room);
+                if !needless || most == 0 {
+                    continue;
+                }
+                most -= 1;
+                cpus -= room;
+                steady_cpus -= if spot { 0 } else { room };
                 self.next_return = now + Span(800);
-                scheduler.leaving.insert(id.clone());
+                scheduler.leaving.insert(id);
             }
         }
         list
@@ -704,6 +712,7 @@
                     silent: Span(30_000),
                     confirmed: true,
                     notice: None,
+                    unrecorded: None,
                     gangs: Vec::new(),
                 }],
             );
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -293,6 +293,11 @@
                         effects.push(Effect::Peer(leader.value.member.clone(), message));
                     }
                 }
+                workers::Effect::Found(id, record) => {
+                    self.replica.discover(id, record);
+                    self.next_sync = now;
+                }
+                workers::Effect::Lost(id) => self.replica.forget(&id),
                 workers::Effect::RenewBlock(block) => self.renew(block, effects),
             }
         }
@@ -342,6 +347,11 @@
             }
             Message::Health(health) => {
                 let urgent = health.len() == 1;
+                for h in &health {
+                    if let Some(record) = &h.unrecorded {
+                        self.replica.discover(h.machine.clone(), record.clone());
+                    }
+                }
                 self.scheduler.on_health(now, health);
                 self.dirty |= urgent;
             }
@@ -430,6 +440,15 @@
         }
         if now >= self.next_clean {
             self.next_clean = now + CLEAN_EVERY;
+            // Nobody has spoken of them lately: what is there will be found again.
+            let unrecorded = self.replica.machines.iter();
+            let lost: Vec<MachineId> = unrecorded
+                .filter(|(id, m)| m.revision == Revision(0) && !self.scheduler.heard_of(now, id))
+                .map(|(id, _)| id.clone())
+                .collect();
+            for id in lost {
+                self.replica.forget(&id);
+            }
             self.fold(effects);
             let mut txn = Txn::default();
             for key in self.replica.orphans() {
@@ -581,6 +600,10 @@
                     {
                         // The holder may have placed something meanwhile: then this fails, and
                         // is built anew on what stands.
+                        if machine.revision == Revision(0) {
+                            self.replica.forget(&id);
+                            continue;
+                        }
                         self.dropping.insert(id.clone(), now);
                         let mut txn = Txn::default();
                         txn.require(keys::machine(&id), machine.revision);
--- a/src/peers/messages.rs
+++ b/src/peers/messages.rs
@@ -4,6 +4,7 @@
     Attempt, BlockId, Incarnation, JobId, MachineId, Member, Pipeline, Revision, Run, Span,
     TypeName,
 };
+use crate::store::records::MachineRecord;
 use crate::wire::Why;
 use serde::{Deserialize, Serialize};
 
@@ -89,6 +90,8 @@
     /// It has said so under the holder's own token.
     pub confirmed: bool,
     pub notice: Option<Span>,
+    /// Its description, while no record of it stands in the state service.
+    pub unrecorded: Option<MachineRecord>,
     /// Gangs of which a task runs here, so that a member that is lost is no longer replaced.
     pub gangs: Vec<(JobId, Attempt)>,
 }
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -554,6 +554,12 @@
         );
     }
 
+    /// Whether a holder has spoken of a machine lately.
+    pub fn heard_of(&self, now: Time, id: &MachineId) -> bool {
+        let health = self.health.get(id);
+        health.is_some_and(|h| now.since(h.at) < HEALTH_AGE)
+    }
+
     /// Whether a machine can take work: its holder has it, under the present token, and no
     /// notice or fault stands against it.
     pub fn usable(&self, now: Time, id: &MachineId, replica: &Replica) -> bool {
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -71,6 +71,7 @@
             silent: Span(0),
             confirmed: true,
             notice: None,
+            unrecorded: None,
             gangs: Vec::new(),
         }
     }
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -285,6 +285,24 @@
         }
     }
 
+    /// A machine that answers and has no record yet.
+    pub fn discover(&mut self, id: MachineId, record: MachineRecord) {
+        if !self.machines.contains_key(&id) {
+            self.place(id, record, Revision(0), Vec::new());
+        }
+    }
+
+    /// Forgets a machine that has no record.
+    pub fn forget(&mut self, id: &MachineId) {
+        if self
+            .machines
+            .get(id)
+            .is_some_and(|m| m.revision == Revision(0))
+        {
+            self.machines.remove(id);
+        }
+    }
+
     fn place(
         &mut self,
         id: MachineId,
--- a/src/workers/holder.rs
+++ b/src/workers/holder.rs
@@ -32,6 +32,11 @@
         orders: Vec<Order>,
     },
     ToLeader(Message),
+    /// A machine that has no record and answers. Its first placement writes one: until then it
+    /// stands in the mirrors alone, and costs no change.
+    Found(MachineId, MachineRecord),
+    /// Such a machine has said nothing for long.
+    Lost(MachineId),
     /// Rewrite the record of a block that we hold, so that its token rises.
     RenewBlock(BlockId),
 }
@@ -63,11 +68,15 @@
 /// The part of the state service's changes that machines' records may use, over all holders: the
 /// rest is for what users ask and for what the leader records.
 const RECORDS_SHARE: f64 = 0.6;
+/// A machine without a record that is silent for so long is forgotten: nothing was placed there.
+const LOST: Span = Span(30_000);
+/// While changes are scarce, whatever comes to a machine within this time shares one.
+const GATHER: Span = Span(200);
 /// An end by itself is written at once while this part of the changes is unused; else it waits
 /// for others, or for the next placement on its machine.
 const LEISURE: f64 = 0.5;
-/// A registration that the mirror does not show by then is tried again.
-const REGISTER_AGAIN: Span = Span(3000);
+/// A machine that has not answered by then is asked again at its next report.
+const GREET_AGAIN: Span = Span(3000);
 
 pub struct Holder {
     me: Member,
@@ -82,8 +91,8 @@
     /// Machines whose records are to change, written by worth as the changes allow.
     ripe: BTreeSet<MachineId>,
     records: Bucket,
-    /// Machines that are asked, or written down, for the first time.
-    registering: BTreeMap<MachineId, Time>,
+    /// Machines that are asked for the first time.
+    greeted: BTreeMap<MachineId, Time>,
     /// The blocks that the desks were last compared with.
     held: BTreeMap<BlockId, Revision>,
     waiting: Vec<(Time, Allotment)>,
@@ -107,7 +116,7 @@
             desks: BTreeMap::new(),
             ripe: BTreeSet::new(),
             records: Bucket::new(config.state_write_rps * RECORDS_SHARE),
-            registering: BTreeMap::new(),
+            greeted: BTreeMap::new(),
             held: BTreeMap::new(),
             waiting: Vec::new(),
             renewed: BTreeMap::new(),
@@ -131,8 +140,7 @@
     pub fn sync(&mut self, now: Time, replica: &Replica, out: &mut Vec<Effect>) {
         self.open_desks(now, replica);
         self.place_waiting(now, replica, out);
-        self.registering
-            .retain(|_, at| now.since(*at) < REGISTER_AGAIN);
+        self.greeted.retain(|_, at| now.since(*at) < GREET_AGAIN);
         let holders = replica.members.len().max(1) as f64;
         self.records
             .set_rate(now, self.write_rps * RECORDS_SHARE / holders);
@@ -142,6 +150,13 @@
         }
         self.flush(now, replica, out);
         self.tell_freed(out);
+        let unrecorded = |id: &MachineId| {
+            let machine = replica.machines.get(id);
+            machine.is_some_and(|m| m.revision == Revision(0))
+        };
+        let silent = self.desks.iter().filter(|(_, d)| d.silent(now) >= LOST);
+        let lost = silent.filter(|(id, d)| unrecorded(id) && d.txn.is_none());
+        out.extend(lost.map(|(id, _)| Effect::Lost(id.clone())));
         if now >= self.next_health {
             self.next_health = now + HEALTH;
             let health: Vec<MachineHealth> = self
@@ -273,10 +288,10 @@
     /// A machine without a record: new, one that nobody expected, or one that is long deleted
     /// and of which a copy of a report has come late. Only a live one answers when it is asked.
     fn greet(&mut self, now: Time, report: &Report, fence: Revision, out: &mut Vec<Effect>) {
-        if self.registering.contains_key(&report.machine) {
+        if self.greeted.contains_key(&report.machine) {
             return;
         }
-        self.registering.insert(report.machine.clone(), now);
+        self.greeted.insert(report.machine.clone(), now);
         out.push(Effect::Call {
             machine: report.machine.clone(),
             addr: report.addr.clone(),
@@ -286,28 +301,6 @@
         });
     }
 
-    /// Writes down a machine that has answered. It becomes usable once its record stands.
-    fn register(
-        &mut self,
-        now: Time,
-        id: &MachineId,
-        fence: Revision,
-        report: &Report,
-        out: &mut Vec<Effect>,
-    ) {
-        let record = MachineRecord::new(&report.addr, &report.type_name, &report.zone, report.spot);
-        self.registering.insert(id.clone(), now);
-        self.records.spend(1.0);
-        let mut txn = Txn::default();
-        txn.require(keys::block(id.block(self.blocks)), fence);
-        txn.require(keys::machine(id), Revision(0));
-        txn.put(keys::machine(id), &record, None);
-        out.push(Effect::Txn {
-            machine: id.clone(),
-            txn,
-        });
-    }
-
     pub fn on_call(
         &mut self,
         now: Time,
@@ -320,11 +313,13 @@
         let Some(desk) = self.desks.get_mut(id) else {
             let held = self.fence(replica, id.block(self.blocks));
             if let CallOutcome::Done(report) = &outcome
-                && let Some(fence) = held.filter(|f| f.0 == fence.0)
+                && held.is_some_and(|f| f.0 == fence.0)
                 && !replica.machines.contains_key(id)
                 && report.machine == *id
             {
-                self.register(now, id, fence, report, out);
+                let (kind, zone) = (&report.type_name, &report.zone);
+                let record = MachineRecord::new(&report.addr, kind, zone, report.spot);
+                out.push(Effect::Found(id.clone(), record));
             }
             return;
         };
@@ -484,9 +479,6 @@
         replica: &mut Replica,
         out: &mut Vec<Effect>,
     ) {
-        if matches!(outcome, TxnOutcome::Refused | TxnOutcome::Unknown) {
-            self.registering.remove(id);
-        }
         let Some(desk) = self.desks.get_mut(id) else {
             return;
         };
@@ -598,6 +590,7 @@
             let waits = now < desk.retry_at
                 || (replica.revision < desk.retry_revision && now < desk.retry_at + Span(2000));
             if let Some(ripe) = desk.ripe.as_ref().filter(|_| !waits && !desk.superseded)
+                && (leisure || now.since(ripe.since) >= GATHER)
                 && (ripe.urgent || (!scarce && (leisure || ripe.worth(now) > 0)))
             {
                 let worth = if ripe.urgent {
@@ -877,6 +870,11 @@
         silent: desk.silent(now),
         confirmed: desk.confirmed && !desk.superseded,
         notice: desk.notice.map(|at| at.since(now)),
+        unrecorded: replica
+            .machines
+            .get(id)
+            .filter(|m| m.revision == Revision(0))
+            .map(|m| m.record.clone()),
         gangs: desk
             .running_since
             .keys()
