--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -6,3 +6,15 @@
 
 pub use link::{Links, listen};
 pub use messages::{Allotment, End, Ended, MachineHealth, Message, attempt};
+
+/// What the other side of a link makes of a message: simulated days send each through its frame,
+/// since a record that can't be read there once stopped all links (entry 5b6cc840).
+#[cfg(test)]
+pub fn over_link(message: &Message) -> Message {
+    let frame = frame::encode(message).expect("frame");
+    let (message, used) = frame::decode(&frame)
+        .expect("own frame")
+        .expect("whole frame");
+    assert_eq!(used, frame.len());
+    message
+}
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -8,7 +8,7 @@
 use crate::ids::{
     GrantId, Incarnation, JobId, MachineId, Member, Revision, Run, Session, Time, Token,
 };
-use crate::peers::Message;
+use crate::peers::{Message, over_link};
 use crate::store::records::{JobRecord, MemberRecord, OverRecord};
 use crate::store::tokens::Bucket;
 use crate::store::{TxnOutcome, keys};
@@ -543,7 +543,7 @@
                     let lost = cut || (self.trouble.lost_answers && self.chance(5));
                     if !lost {
                         let ms = self.pick(1, 5);
-                        self.after(ms, What::Peer(to, message));
+                        self.after(ms, What::Peer(to, over_link(&message)));
                     }
                 }
                 effect => {
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -61,8 +61,9 @@
     pub spot: bool,
     pub jobs: Vec<PlacedJob>,
     /// Tasks that completed here and may not stand in their job's own counter yet: this record
-    /// has to be written for them anyway, so counting them costs no change of its own.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    /// has to be written for them anyway, so counting them costs no change of its own. Never
+    /// skipped: records also travel between controllers, where each field has its place.
+    #[serde(default)]
     pub done: Vec<DoneTasks>,
 }
 
