--- a/src/controller.rs
+++ b/src/controller.rs
@@ -80,6 +80,7 @@
     plans: BTreeMap<JobId, PlanRecord>,
     plans_in_flight: bool,
     plans_since: Time,
+    plans_again: Time,
     plan_batch: u64,
     releasing: BTreeMap<JobId, Time>,
     catalog_in_flight: bool,
@@ -107,6 +108,7 @@
             plans: BTreeMap::new(),
             plans_in_flight: false,
             plans_since: zero,
+            plans_again: zero,
             plan_batch: 0,
             releasing: BTreeMap::new(),
             catalog_in_flight: false,
@@ -183,7 +185,10 @@
             TxnOwner::Leadership => self.leadership.on_txn(now, outcome),
             TxnOwner::Plans(jobs) => {
                 self.plans_in_flight = false;
-                // Under any other outcome they are written, or somebody else leads.
+                // Under any other outcome they are written, or somebody else leads. A refusal
+                // for want of tokens comes back at once: without a pause it would go round and
+                // round (entry 37769b7d).
+                self.plans_again = now + PLANS_GATHER;
                 let again = matches!(outcome, TxnOutcome::Refused);
                 for job in jobs.iter().filter(|_| again) {
                     let plan = self.replica.jobs.get(job).and_then(|j| j.plan.clone());
@@ -497,7 +502,8 @@
         let room = self.config.value_bytes / 2;
         let full = 600 * self.plans.len() > room;
         let due = full || now.since(self.plans_since) >= PLANS_GATHER;
-        if self.plans.is_empty() || self.plans_in_flight || !due {
+        let waits = self.plans_in_flight || now < self.plans_again;
+        if self.plans.is_empty() || waits || !due {
             return;
         }
         let mut batch = PlanBatch::new();
--- a/src/sim/growth.rs
+++ b/src/sim/growth.rs
@@ -125,6 +125,7 @@
     assert!(by["machines"] <= 4 * world.starts / 10, "{by:?}");
     // A batch a second, not a plan for each job.
     assert!(by["plans"] <= 120, "{by:?}");
+    // A refusal is not followed by the same again at once: it once went round and round.
     assert!(counts.refused <= counts.transactions / 8, "{counts:?}");
 }
 
