--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -53,7 +53,7 @@
 const AWAIT: Span = Span(1200);
 /// The part of the state service's changes that arrays are placed with: each machine that is
 /// given tasks has its record written for them, and others need changes as well.
-const RECORDS_SHARE: f64 = 0.5;
+const RECORDS_SHARE: f64 = 0.65;
 /// While a smaller part of a second's worth is left, tasks go where one change places the most.
 const PLENTY: f64 = 0.5;
 /// Tasks for which victims are looked for in one turn: each looks at every machine.
--- a/src/store/tokens.rs
+++ b/src/store/tokens.rs
@@ -23,7 +23,7 @@
         match self {
             Self::Grant => f64::NEG_INFINITY,
             Self::Place => 0.0,
-            Self::Accept => 0.15,
+            Self::Accept => 0.05,
             Self::Poll => 0.3,
             Self::Record => 0.45,
         }
