Jobs end on what holders have seen; ends alone wait for the next placement

Now holders tell the leader of ends before they are written, the release is the counter's last update, and an end alone is written after 10 s, when its machine is empty, or while changes are plenty.

--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -531,6 +531,7 @@
         }
         // What must run all at once comes first: the rest shares what is left.
         shortages.sort_by_key(|s| !s.together);
+        let shortages = merged(shortages, replica);
         for shortage in shortages {
             let Some(job) = replica.jobs.get(&shortage.job) else {
                 continue;
@@ -663,6 +664,27 @@
     }
 }
 
+/// Arrays that may use the same machines rent together: calls are few, and each may bring many
+/// machines. They keep the place of the first of them.
+fn merged(shortages: Vec<Shortage>, replica: &Replica) -> Vec<Shortage> {
+    let mut list: Vec<Shortage> = Vec::new();
+    for shortage in shortages {
+        let spec = |s: &Shortage| replica.jobs.get(&s.job).map(|j| j.spec.clone());
+        let same = |other: &&mut Shortage| {
+            let alike = match (spec(&shortage), spec(other)) {
+                (Some(a), Some(b)) => (&a.types, &a.zone, a.spot) == (&b.types, &b.zone, b.spot),
+                _ => false,
+            };
+            alike && !shortage.together && !other.together && other.need == shortage.need
+        };
+        match list.iter_mut().find(same) {
+            Some(other) => other.tasks += shortage.tasks,
+            None => list.push(shortage),
+        }
+    }
+    list
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -333,6 +333,11 @@
                 .holder
                 .on_stop(now, &machine, run, grace, &self.replica, &mut out),
             Message::Freed(runs) => {
+                for (_, run, done) in &runs {
+                    if let Some(job) = self.replica.jobs.get_mut(&run.task.job).filter(|_| *done) {
+                        job.tell(run.task.index);
+                    }
+                }
                 self.scheduler.on_freed(runs);
                 self.dirty = true;
             }
@@ -541,7 +546,8 @@
             .retain(|id, at| self.replica.jobs.contains_key(id) && now.since(*at) < RELEASE_AGAIN);
         for (id, job) in &self.replica.jobs {
             if !self.releasing.contains_key(id)
-                && let Some(txn) = counter::release(id, job, self.config.txn_ops)
+                && let Some(txn) =
+                    counter::release(id, job, self.config.segment_tasks(), self.config.txn_ops)
             {
                 self.releasing.insert(id.clone(), now);
                 effects.push(Effect::Txn {
--- a/src/peers/messages.rs
+++ b/src/peers/messages.rs
@@ -24,9 +24,10 @@
     },
     /// Holder to leader: a placement was dropped, on proof.
     Ended(Ended),
-    /// Holder to leader: these placements are proved gone, though their records still stand. The
-    /// room may be given out again; the end is written along with what takes it.
-    Freed(Vec<(MachineId, Run)>),
+    /// Holder to leader: these placements are proved gone, though their records still stand, and
+    /// whether their tasks are done. The room may be given out again; the end is written along
+    /// with what takes it.
+    Freed(Vec<(MachineId, Run, bool)>),
     /// Leader to holder: stop a task, for a preemption or to drain its machine.
     Stop {
         machine: MachineId,
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -55,7 +55,8 @@
 /// given tasks has its record written for them, and others need changes as well.
 const RECORDS_SHARE: f64 = 0.65;
 /// While a smaller part of a second's worth is left, tasks go where one change places the most.
-const PLENTY: f64 = 0.5;
+/// Near the full: else single tasks on nearly full machines use up what a large array needs next.
+const PLENTY: f64 = 0.9;
 /// Tasks for which victims are looked for in one turn: each looks at every machine.
 const LOOKS: usize = 24;
 /// Machines of a block that its holder may choose from.
@@ -198,9 +199,10 @@
         }
     }
 
-    pub fn on_freed(&mut self, runs: Vec<(MachineId, Run)>) {
+    pub fn on_freed(&mut self, runs: Vec<(MachineId, Run, bool)>) {
+        let runs = runs.into_iter();
         self.freed
-            .extend(runs.into_iter().map(|(machine, run)| (run, machine)));
+            .extend(runs.map(|(machine, run, _)| (run, machine)));
     }
 
     pub fn on_refused(&mut self, fence: Revision, runs: &[Run]) {
@@ -290,7 +292,6 @@
         let mut shortages = Vec::new();
         let mut quick = Vec::new();
         let mut allotments: Vec<Outgoing> = Vec::new();
-        let scarce = self.records.part(now) < PLENTY;
         for (id, job) in waiting {
             let spec = &job.spec;
             let need = spec.need();
@@ -336,6 +337,8 @@
             }
             let mut zones = ZoneRule::new(job, already, replica);
             let services = spec.kind == Kind::Service;
+            let scarce = self.records.part(now) < PLENTY
+                || open.len() as f64 > 0.5 * self.records.level(now);
             let look = Look {
                 most: (scarce && array).then_some(open.len() as u64),
                 among: array.then_some(roomy.as_slice()),
--- a/src/planning/counter.rs
+++ b/src/planning/counter.rs
@@ -36,11 +36,12 @@
     all
 }
 
-/// The transaction that ends a job all of whose tasks are done; `None` while some are not. Done
+/// The transaction that ends a job all of whose tasks are done; `None` while some are not. It is
+/// the counter's last update: ends that holders have seen and not written yet are in it. Done
 /// and cancelled exclude each other by the condition on the job's record. Segments that find no
 /// room are cleaned up later.
-pub fn release(id: &JobId, job: &LiveJob, max_ops: usize) -> Option<Txn> {
-    if job.done_count() < job.spec.tasks {
+pub fn release(id: &JobId, job: &LiveJob, segment_tasks: u32, max_ops: usize) -> Option<Txn> {
+    if !job.is_complete(segment_tasks) {
         return None;
     }
     let mut txn = Txn::default();
@@ -190,7 +191,7 @@
                 assert_eq!(replica.jobs[&id].done_count() as usize, model.len());
             }
             at += n;
-            let release = release(&id, &replica.jobs[&id], ops);
+            let release = release(&id, &replica.jobs[&id], size, ops);
             assert_eq!(release.is_some(), model.len() == order.len());
             if let Some(txn) = release {
                 assert!(txn.changes.len() <= ops);
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -14,7 +14,7 @@
     Attempt, BlockId, Image, JobId, MachineId, Member, Pipeline, Revision, TeamId, Wall,
 };
 use crate::wire::state::{Event, Item};
-use crate::wire::{Catalog, JobSpec, MachineType};
+use crate::wire::{Catalog, JobSpec, Kind, MachineType};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
@@ -38,6 +38,8 @@
     /// Finished tasks that stand in machines' records and not in a segment yet. A task that was
     /// once done stays done: none is ever taken out but by its segment.
     pub counted: BTreeSet<u32>,
+    /// Finished tasks that a holder has told of and no record shows yet.
+    told: BTreeSet<u32>,
     pub placed: BTreeMap<u32, (MachineId, Attempt)>,
     pub plan: Option<PlanRecord>,
 }
@@ -48,6 +50,21 @@
         folded + self.counted.len() as u32
     }
 
+    /// A holder has seen a task done. The tasks of a gang complete together.
+    pub fn tell(&mut self, index: u32) {
+        match self.spec.kind {
+            Kind::Gang => self.told.extend(0..self.spec.tasks),
+            _ => drop(self.told.insert(index)),
+        }
+    }
+
+    /// Whether all tasks are done, by the counter and by what holders have seen.
+    pub fn is_complete(&self, segment_tasks: u32) -> bool {
+        let told = self.told.iter();
+        let more = told.filter(|i| **i < self.spec.tasks && !self.is_done(**i, segment_tasks));
+        self.done_count() + more.count() as u32 >= self.spec.tasks
+    }
+
     fn is_folded(&self, index: u32, segment_tasks: u32) -> bool {
         self.segments
             .get(&(index / segment_tasks))
@@ -259,6 +276,7 @@
             revision,
             segments,
             counted: BTreeSet::new(),
+            told: BTreeSet::new(),
             placed,
             plan: self.early_plans.remove(&id),
         };
--- a/src/workers/desk.rs
+++ b/src/workers/desk.rs
@@ -53,31 +53,34 @@
 pub struct Ripe {
     pub since: Time,
     pub incoming: usize,
-    /// Placements that are proved gone, and the room they leave.
-    pub ended: Vec<Run>,
+    /// Placements that are proved gone, whether they are done, and the room they leave.
+    pub ended: Vec<(Run, bool)>,
     pub freed: Amounts,
-    /// Ends of jobs that have no other tasks left to place.
-    pub finishing: usize,
+    /// Nothing is left on the machine: only with an empty record can it be returned.
+    pub idle: bool,
     /// Somebody waits for it: a service, a gang, or another try.
     pub urgent: bool,
 }
 
 impl Ripe {
     /// Grows with what one change would write, and with age, so that nothing waits for ever.
-    /// Ends alone are worth nothing at first: a placement may follow that takes them along.
+    /// Ends alone are worth nothing at first: the leader has been told of them, and a placement
+    /// may follow that takes them along.
     pub fn worth(&self, now: Time) -> u64 {
         let age = now.since(self.since).0;
-        let tasks = 1000 * self.incoming as u64 + 300 * self.ended.len() as u64;
-        let finishing = 500 * self.finishing as u64;
-        if self.incoming == 0 && age < ALONE {
-            return finishing;
+        let ended = 300 * self.ended.len() as u64;
+        if self.incoming > 0 {
+            return 1000 * self.incoming as u64 + ended + age;
         }
-        tasks + finishing + age
+        let due = age >= ALONE || (self.idle && age >= IDLE);
+        if due { ended + age } else { 0 }
     }
 }
 
-/// How long ends wait for a placement on their machine while changes are scarce.
-const ALONE: u64 = 1500;
+/// How long ends wait for a placement on their machine while changes are scarce, and the last
+/// ones of a machine.
+const ALONE: u64 = 10_000;
+const IDLE: u64 = 700;
 
 /// A transaction on its way.
 #[derive(Debug)]
--- a/src/workers/holder.rs
+++ b/src/workers/holder.rs
@@ -74,7 +74,7 @@
 const GATHER: Span = Span(200);
 /// An end by itself is written at once while this part of the changes is unused; else it waits
 /// for others, or for the next placement on its machine.
-const LEISURE: f64 = 0.5;
+const LEISURE: f64 = 0.9;
 /// A machine that has not answered by then is asked again at its next report.
 const GREET_AGAIN: Span = Span(3000);
 
@@ -93,6 +93,8 @@
     records: Bucket,
     /// Machines that are asked for the first time.
     greeted: BTreeMap<MachineId, Time>,
+    /// The leader that was told of ends.
+    leader: Option<Revision>,
     /// The blocks that the desks were last compared with.
     held: BTreeMap<BlockId, Revision>,
     waiting: Vec<(Time, Allotment)>,
@@ -117,6 +119,7 @@
             ripe: BTreeSet::new(),
             records: Bucket::new(config.state_write_rps * RECORDS_SHARE),
             greeted: BTreeMap::new(),
+            leader: None,
             held: BTreeMap::new(),
             waiting: Vec::new(),
             renewed: BTreeMap::new(),
@@ -149,7 +152,7 @@
             self.drive(now, &id, replica, out);
         }
         self.flush(now, replica, out);
-        self.tell_freed(out);
+        self.tell_freed(replica, out);
         let unrecorded = |id: &MachineId| {
             let machine = replica.machines.get(id);
             machine.is_some_and(|m| m.revision == Revision(0))
@@ -219,19 +222,24 @@
         self.flush(now, replica, out);
     }
 
-    /// Tells the leader of room that is proved free before its record is written: it can be
-    /// given out again, and one change then writes the end and the next placement.
-    fn tell_freed(&mut self, out: &mut Vec<Effect>) {
+    /// Tells the leader of ends before they are written: the room can be given out again, so
+    /// that one change writes the end and the next placement; and a job whose tasks are all done
+    /// ends without waiting for records. A new leader is told anew.
+    fn tell_freed(&mut self, replica: &Replica, out: &mut Vec<Effect>) {
+        let leader = replica.leader.as_ref().map(|l| l.revision);
+        if self.leader != leader {
+            self.leader = leader;
+            self.desks.values_mut().for_each(|d| d.told.clear());
+        }
         let mut freed = Vec::new();
         for id in &self.ripe {
-            if let Some(desk) = self.desks.get_mut(id)
-                && let Some(ripe) = &mut desk.ripe
-            {
-                let new = ripe
-                    .ended
-                    .iter()
-                    .filter(|run| desk.told.insert((*run).clone()));
-                freed.extend(new.map(|run| (id.clone(), run.clone())));
+            let Some(desk) = self.desks.get_mut(id) else {
+                continue;
+            };
+            for (run, done) in desk.ripe.iter().flat_map(|r| &r.ended) {
+                if desk.told.insert(run.clone()) {
+                    freed.push((id.clone(), run.clone(), *done));
+                }
             }
         }
         if !freed.is_empty() {
@@ -634,7 +642,7 @@
             job.is_some_and(|j| j.needs(done, segment_tasks))
         });
         let mut ended = Vec::new();
-        for run in ripe.ended {
+        for (run, _) in ripe.ended {
             let Some(end) = ended_as(desk, &run, replica) else {
                 continue;
             };
@@ -836,7 +844,7 @@
         incoming: desk.incoming.len(),
         ended: Vec::new(),
         freed: Amounts::default(),
-        finishing: 0,
+        idle: false,
         urgent: touch,
     };
     let waited_for = |kind: Kind| kind != Kind::Array;
@@ -847,13 +855,12 @@
         };
         ripe.freed = ripe.freed + placed.need;
         if let Some(job) = replica.jobs.get(&run.task.job) {
-            // The last ends of a job release it, and a failure waits to be tried elsewhere.
-            let left = job.spec.tasks.saturating_sub(job.done_count());
-            ripe.finishing += usize::from(left as usize <= job.placed.len());
+            // A failure waits to be tried elsewhere.
             ripe.urgent |= waited_for(job.spec.kind) || end != End::Done;
         }
-        ripe.ended.push(run);
+        ripe.ended.push((run, end == End::Done));
     }
+    ripe.idle = ripe.incoming == 0 && ripe.ended.len() == machine.record.runs().count();
     (touch || ripe.incoming > 0 || !ripe.ended.is_empty()).then_some(ripe)
 }
 
