--- a/src/workers/holder.rs
+++ b/src/workers/holder.rs
@@ -72,8 +72,7 @@
 const LOST: Span = Span(30_000);
 /// While changes are scarce, whatever comes to a machine within this time shares one.
 const GATHER: Span = Span(200);
-/// An end by itself is written at once while this part of the changes is unused; else it waits
-/// for others, or for the next placement on its machine.
+/// While this part of a second's worth is unused, nothing waits for others to share its change.
 const LEISURE: f64 = 0.9;
 /// A machine that has not answered by then is asked again at its next report.
 const GREET_AGAIN: Span = Span(3000);
@@ -599,7 +598,7 @@
                 || (replica.revision < desk.retry_revision && now < desk.retry_at + Span(2000));
             if let Some(ripe) = desk.ripe.as_ref().filter(|_| !waits && !desk.superseded)
                 && (leisure || now.since(ripe.since) >= GATHER)
-                && (ripe.urgent || (!scarce && (leisure || ripe.worth(now) > 0)))
+                && (ripe.urgent || (!scarce && ripe.worth(now) > 0))
             {
                 let worth = if ripe.urgent {
                     u64::MAX
