--- a/src/daemon/cloud_calls.rs
+++ b/src/daemon/cloud_calls.rs
@@ -25,7 +25,7 @@
 impl CloudCalls {
     pub fn new(addr: SocketAddr, rps: f64, started: Instant) -> Self {
         Self {
-            client: Client::new(BODY_LIMIT),
+            client: Client::new(BODY_LIMIT, 1),
             addr,
             bucket: RefCell::new(Bucket::new(rps)),
             started,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -77,7 +77,7 @@
     let node = Rc::new(Node {
         intake: Intake::new(&config, store.clone(), controller.clone()),
         cloud: CloudCalls::new(config.cloud_addr, config.cloud_rps, started),
-        workers: Client::new(REPORT_LIMIT),
+        workers: Client::new(REPORT_LIMIT, config.sockets / 5),
         loaded: Cell::new(false),
         peers_served: RefCell::default(),
         forwarded: forward::Forwarded::default(),
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -11,7 +11,6 @@
 
 /// Idle connections kept for one address.
 const IDLE_LIMIT: usize = 8;
-const IDLE_ADDRESSES: usize = 256;
 
 /// Why a call has no answer. The difference decides what may be concluded from it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -25,13 +24,16 @@
 #[derive(Clone)]
 pub struct Client {
     idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<TcpStream>>>>,
+    /// Addresses with kept connections: fewer than there are to call would be churn.
+    most_idle: usize,
     body_limit: usize,
 }
 
 impl Client {
-    pub fn new(body_limit: usize) -> Self {
+    pub fn new(body_limit: usize, most_idle: usize) -> Self {
         Self {
             idle: Rc::default(),
+            most_idle,
             body_limit,
         }
     }
@@ -95,7 +97,7 @@
 
     fn keep(&self, addr: SocketAddr, stream: TcpStream) {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() >= IDLE_ADDRESSES && !idle.contains_key(&addr) {
+        if idle.len() >= self.most_idle && !idle.contains_key(&addr) {
             idle.pop_first();
         }
         let streams = idle.entry(addr).or_default();
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -72,7 +72,7 @@
         let mut buffer = [0; 256];
         assert!(!matches!(third.read(&mut buffer).await, Ok(n) if n > 0));
         drop(held);
-        let client = super::Client::new(1000);
+        let client = super::Client::new(1000, 4);
         let call = || {
             let client = client.clone();
             let limit = std::time::Duration::from_secs(20);
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -41,11 +41,33 @@
     list
 }
 
+/// What is due later than this after its acceptance, or never, counts as due then: under lasting
+/// overload it would otherwise stand behind all that comes after it.
+const DUE_AT_LATEST: u64 = 150_000;
+/// A job that has waited so long for its first task goes before everything else, one at a time:
+/// neither higher work, nor other teams' guarantees, nor small jobs keep it out for ever.
+const STARVING: u64 = 120_000;
+
+/// Puts the oldest of the jobs that have waited too long for their first task to the front.
+pub fn oldest_first(waiting: &mut [(&JobId, &LiveJob)], now: Wall) {
+    let unbegun = |job: &LiveJob| job.placed.is_empty() && job.done_count() == 0;
+    let starving = waiting
+        .iter()
+        .enumerate()
+        .filter(|(_, (_, j))| unbegun(j) && now.0.saturating_sub(j.accepted.0) > STARVING)
+        .min_by_key(|(_, (id, j))| (j.accepted, *id));
+    if let Some((at, _)) = starving {
+        waiting[..=at].rotate_right(1);
+    }
+}
+
 /// Priority first; then what a guarantee covers; then what is due first; then age.
 pub fn rank(id: &JobId, job: &LiveJob, within: bool) -> impl Ord + use<> {
-    let due = job.spec.deadline_s.map_or(Wall(u64::MAX), |s| {
-        Wall(job.accepted.0 + (s * 1000.0) as u64)
-    });
+    let due = job
+        .spec
+        .deadline_s
+        .map_or(u64::MAX, |s| (s * 1000.0) as u64);
+    let due = Wall(job.accepted.0.saturating_add(due.min(DUE_AT_LATEST)));
     (
         Reverse(job.spec.priority),
         !within,
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -4,7 +4,7 @@
 use super::accounts::Accounts;
 use super::faults::Faults;
 use super::gangs::{Gangs, Next, missing};
-use super::order::{guaranteed, rank};
+use super::order::{guaranteed, oldest_first, rank};
 use crate::config::Config;
 use crate::ids::{
     Amounts, Attempt, BlockId, JobId, MachineId, Member, Revision, Run, Span, TaskId, TeamId, Time,
@@ -287,6 +287,7 @@
             })
             .collect();
         waiting.sort_by_cached_key(|(id, job)| rank(id, job, within.contains(*id)));
+        oldest_first(&mut waiting, self.wall);
         // Room for arrays on machines whose records nothing can be spent on in this turn.
         let mut unwritten = 0;
         let mut shortages = Vec::new();
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -166,6 +166,35 @@
     assert!(!scene.scheduler.present(NOW, &id));
 }
 
+/// Under lasting overload neither higher work, nor earlier deadlines, nor other teams' guarantees
+/// keep a job from beginning: of no class, team or size.
+#[test]
+fn what_has_waited_long_for_its_first_task_goes_first() {
+    let changes: [fn(&mut JobSpec); 3] = [
+        |j| j.priority = Priority::Low,
+        |j| j.deadline_s = None,
+        |j| {
+            // Far beyond its team's guarantee.
+            j.tasks = 90;
+            j.team = "blue".into();
+        },
+    ];
+    for change in changes {
+        let mut scene = Scene::new();
+        scene.machine(1, "a", false, &[]);
+        let old = scene.job(1, change);
+        scene.scheduler.wall = Wall(scene.scheduler.wall.0 + 125_000);
+        for n in 2..12 {
+            scene.job(n, |j| {
+                j.tasks = 8;
+                j.deadline_s = Some(20.0);
+            });
+        }
+        let (allotments, _) = scene.drive();
+        assert_eq!(allotments[0].runs[0].task.job, old.id);
+    }
+}
+
 /// Found in simulated days with late copies, seed 61.
 #[test]
 fn a_job_of_one_zone_goes_where_it_may_run_not_where_there_is_most_room() {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -68,7 +68,7 @@
 impl Store {
     pub fn new(addr: SocketAddr, rps: f64, write_rps: f64, started: Instant) -> Self {
         Self {
-            client: Client::new(BODY_LIMIT),
+            client: Client::new(BODY_LIMIT, 1),
             addr,
             requests: RefCell::new(Bucket::new(rps)),
             writes: RefCell::new(Bucket::new(write_rps)),
