Users' changes before records', images before a few tasks more, empties deleted at once

(3) A machine that empties waited until nothing was on its way to its whole block, which with a hundred machines is rare: now only what was allotted before it was left out counts.

--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -67,6 +67,8 @@
     rentals: Vec<Rental>,
     no_capacity: BTreeMap<(TypeName, Zone, bool), Time>,
     deleting: BTreeMap<MachineId, Time>,
+    /// Since when a machine gets nothing new.
+    left: BTreeMap<MachineId, Time>,
     /// Deleted lately: the list still shows them for a while.
     deleted: BTreeMap<MachineId, Time>,
     /// The load of the last while, its latest, and what the usable machines hold.
@@ -97,6 +99,7 @@
             rentals: Vec::new(),
             no_capacity: BTreeMap::new(),
             deleting: BTreeMap::new(),
+            left: BTreeMap::new(),
             deleted: BTreeMap::new(),
             recent: VecDeque::new(),
             load: Load::default(),
@@ -397,12 +400,18 @@
         self.capacity = cpus;
         self.steady = steady_cpus;
         // Those that are leaving go once nothing can be on its way to them any more.
+        self.left.retain(|id, _| scheduler.leaving.contains(id));
+        for id in &scheduler.leaving {
+            self.left.entry(id.clone()).or_insert(now);
+        }
         let empty = |id: &&MachineId| {
-            replica
-                .machines
-                .get(*id)
-                .is_some_and(|m| m.record.jobs.is_empty())
-                && scheduler.block_is_quiet(id.block(self.config.blocks()))
+            let machine = replica.machines.get(*id);
+            let block = id.block(self.config.blocks());
+            machine.is_some_and(|m| m.record.jobs.is_empty())
+                && self
+                    .left
+                    .get(*id)
+                    .is_some_and(|at| !scheduler.allotted_before(block, *at))
         };
         let list = scheduler
             .leaving
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -386,7 +386,7 @@
         if let Some(txn) = self.leadership.drive(now, &self.replica) {
             effects.push(Effect::Txn {
                 owner: TxnOwner::Leadership,
-                class: Class::Place,
+                class: Class::Grant,
                 txn,
             });
         }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -65,7 +65,7 @@
     let incarnation = Incarnation(rand::random::<u64>() >> 1);
     let mut scope = Scope::default();
     // Every controller may use somewhat more than its even share: seldom do all need theirs.
-    let share = 1.5 / f64::from(config.controllers.max(2));
+    let share = 1.3 / f64::from(config.controllers.max(2));
     let store = Rc::new(Store::new(
         config.state_addr,
         config.state_rps * share,
--- a/src/intake/verify.rs
+++ b/src/intake/verify.rs
@@ -73,8 +73,8 @@
 fn class(tries: u32) -> Class {
     match tries {
         0..2 => Class::Poll,
-        2..4 => Class::Accept,
-        _ => Class::Place,
+        2..4 => Class::Place,
+        _ => Class::Accept,
     }
 }
 
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -57,6 +57,8 @@
 /// While a smaller part of a second's worth is left, tasks go where one change places the most.
 /// Near the full: else single tasks on nearly full machines use up what a large array needs next.
 const PLENTY: f64 = 0.9;
+/// Steps in which the number of tasks that a machine takes at once counts.
+const TOGETHER: u64 = 4;
 /// Tasks for which victims are looked for in one turn: each looks at every machine.
 const LOOKS: usize = 24;
 /// Machines of a block that its holder may choose from.
@@ -679,9 +681,10 @@
                 } else {
                     spec.image_gb / c.fetch_gb_per_s
                 };
+                // A few tasks more or less don't outweigh an image that has to be fetched.
                 let together = look
                     .most
-                    .map(|n| std::cmp::Reverse(need.count_in(free(at)).min(n)));
+                    .map(|n| std::cmp::Reverse(need.count_in(free(at)).min(n) / TOGETHER));
                 let key = (
                     together,
                     // Whole seconds, so that small differences don't scatter the work.
@@ -859,10 +862,12 @@
         stops
     }
 
-    /// Whether nothing is on its way to a block: then a machine that was left out of the lists
-    /// stays empty.
-    pub fn block_is_quiet(&self, block: BlockId) -> bool {
-        self.allotted.values().all(|a| a.block != block)
+    /// Whether something that was allotted to a block before a time is still on its way: only
+    /// that can come to a machine which has been left out of the lists since.
+    pub fn allotted_before(&self, block: BlockId, at: Time) -> bool {
+        self.allotted
+            .values()
+            .any(|a| a.block == block && a.at <= at)
     }
 
     pub fn allotted_count(&self) -> usize {
--- a/src/store/tokens.rs
+++ b/src/store/tokens.rs
@@ -6,12 +6,12 @@
 /// What a call is for; earlier classes may use what later ones must leave.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Class {
-    /// Grants and the mirror: never held back.
+    /// Grants, fences and the mirror: never held back.
     Grant,
-    /// Fences and placements.
-    Place,
     /// Acceptance and withdrawal.
     Accept,
+    /// Placements and ends of jobs.
+    Place,
     Poll,
     /// Plans, history and cleaning up.
     Record,
@@ -22,8 +22,9 @@
     fn reserve(self) -> f64 {
         match self {
             Self::Grant => f64::NEG_INFINITY,
-            Self::Place => 0.0,
-            Self::Accept => 0.05,
+            // Holders and leader keep to a part of the changes by themselves, so users come first.
+            Self::Accept => 0.0,
+            Self::Place => 0.05,
             Self::Poll => 0.3,
             Self::Record => 0.45,
         }
--- a/src/workers/holder.rs
+++ b/src/workers/holder.rs
@@ -67,7 +67,7 @@
 const COMMAND_BATCH: usize = 200;
 /// The part of the state service's changes that machines' records may use, over all holders: the
 /// rest is for what users ask and for what the leader records.
-const RECORDS_SHARE: f64 = 0.75;
+const RECORDS_SHARE: f64 = 0.7;
 /// A machine without a record that is silent for so long is forgotten: nothing was placed there.
 const LOST: Span = Span(30_000);
 /// While changes are scarce, whatever comes to a machine within this time shares one.
