A broken limit: only what a holder committed itself is ever started

Cause: an end is told to the leader, which gives its room out again, before it is written. Then the machine's lease ran out, or its holder changed, and the task, absent but still on record, was started once more. Now a holder starts only what it committed and has not seen yet; whatever else is absent is dropped from the record and allotted anew.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -352,7 +352,7 @@
                     self.history
                         .add(pipeline, &ended.type_name, ended.estimate_s, ran);
                 }
-                self.scheduler.on_ended(now, &ended);
+                self.scheduler.on_ended(now, &ended, &self.replica);
                 self.dirty = true;
             }
             Message::Health(health) => {
--- a/src/peers/messages.rs
+++ b/src/peers/messages.rs
@@ -74,6 +74,8 @@
 pub struct Ended {
     pub run: Run,
     pub machine: MachineId,
+    /// Of the machine's record, without it.
+    pub revision: Revision,
     pub type_name: TypeName,
     pub pipeline: Option<Pipeline>,
     pub end: End,
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -215,8 +215,17 @@
         }
     }
 
-    pub fn on_ended(&mut self, now: Time, ended: &Ended) {
-        self.allotted.remove(&ended.run);
+    pub fn on_ended(&mut self, now: Time, ended: &Ended, replica: &Replica) {
+        // A gang's lost member is replaced under the same attempt. Once the mirror shows the end,
+        // what is allotted under it is the replacement: taking that off the books started the
+        // task twice (simulated seed 261 of the crowded days).
+        let job = replica.jobs.get(&ended.run.task.job);
+        let reused = job.is_some_and(|j| j.spec.kind == Kind::Gang);
+        let machine = replica.machines.get(&ended.machine);
+        let shown = machine.is_none_or(|m| m.revision >= ended.revision);
+        if !(reused && shown) {
+            self.allotted.remove(&ended.run);
+        }
         self.preempted.remove(&ended.run);
         let job = &ended.run.task.job;
         if !matches!(ended.end, End::Absent) {
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -102,6 +102,21 @@
     days_with("back at once", 80..84, flaps);
 }
 
+#[test]
+fn limits_hold_while_leases_run_out_under_overload() {
+    let crowd = Trouble {
+        crowd: true,
+        machines: true,
+        crashes: true,
+        ..Trouble::default()
+    };
+    // Those that once broke a limit, or started a task twice, and a few others.
+    for seed in [122, 173, 261] {
+        days_with("crowd", seed..seed + 1, crowd);
+    }
+    days_with("crowd", 90..95, crowd);
+}
+
 #[test]
 fn rules_hold_under_everything_at_once() {
     days_with("all", 40..48, Trouble::ALL);
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -38,6 +38,8 @@
     /// Processes are back within a fraction of a second, all at once too, and end again before
     /// the election that they met is over.
     pub flaps: bool,
+    /// Users ask for more than their teams' limits all the time.
+    pub crowd: bool,
 }
 
 impl Trouble {
@@ -50,6 +52,7 @@
         copies: true,
         apart: true,
         flaps: true,
+        crowd: true,
     };
 }
 
@@ -971,7 +974,8 @@
         let n = self.jobs.len();
         let id = format!("job-{n:06}");
         let mut body = crate::wire::tests::submission(&id);
-        body["sheets"] = json!(self.pick(1, 9));
+        let most = if self.trouble.crowd { 24 } else { 9 };
+        body["sheets"] = json!(self.pick(1, most));
         body["crew"] = json!(if self.chance(50) { "red" } else { "blue" });
         body["ebb"] = json!(self.chance(50));
         if self.chance(25) {
--- a/src/workers/desk.rs
+++ b/src/workers/desk.rs
@@ -79,7 +79,7 @@
 
 /// How long ends wait for a placement on their machine while changes are scarce, and the last
 /// ones of a machine.
-const ALONE: u64 = 10_000;
+const ALONE: u64 = 10_000; //x
 const IDLE: u64 = 700;
 
 /// A transaction on its way.
@@ -116,6 +116,10 @@
     pub running_since: BTreeMap<Run, Time>,
     pub incoming: VecDeque<Incoming>,
     pub ripe: Option<Ripe>,
+    /// Committed here and not seen on the machine yet. Only these are ever started: whatever else
+    /// is absent may have ended before, its room given out again, and only its end not written.
+    /// Started once more it broke a team's limit (hunt 82e7ad15, simulated seed 173).
+    pub fresh: BTreeSet<Run>,
     /// Proved gone, and told to the leader before it was written.
     pub told: BTreeSet<Run>,
     /// To be refused once nothing that was sent can still place them.
@@ -152,6 +156,7 @@
             running_since: BTreeMap::new(),
             incoming: VecDeque::new(),
             ripe: None,
+            fresh: BTreeSet::new(),
             told: BTreeSet::new(),
             rejected: Vec::new(),
             txn: None,
@@ -254,6 +259,7 @@
             }
         }
         let listed = &self.listed;
+        self.fresh.retain(|run| !listed.contains_key(run));
         self.running_since.retain(|run, _| listed.contains_key(run));
         let session = self.session;
         self.starts.retain(|_, s| s.session >= session);
--- a/src/workers/holder.rs
+++ b/src/workers/holder.rs
@@ -236,6 +236,8 @@
                 continue;
             };
             for (run, done) in desk.ripe.iter().flat_map(|r| &r.ended) {
+                // Once told it is never started again, whatever becomes of the reason.
+                desk.fresh.remove(run);
                 if desk.told.insert(run.clone()) {
                     freed.push((id.clone(), run.clone(), *done));
                 }
@@ -506,6 +508,7 @@
                     let job = replica.jobs.get(&run.task.job);
                     out.push(Effect::ToLeader(Message::Ended(Ended {
                         machine: id.clone(),
+                        revision: *revision,
                         type_name: type_name.clone(),
                         estimate_s: job.map_or(0.0, |j| j.spec.estimate_s),
                         pipeline: job.map(|j| j.spec.pipeline.clone()),
@@ -667,7 +670,10 @@
                 txn.require(keys::job(job), incoming.job_revision);
             }
             record.add(&incoming.run, &incoming.spec);
+            desk.fresh.insert(incoming.run.clone());
         }
+        let placed = |run: &Run| record.holds(run);
+        desk.fresh.retain(placed);
         let touch = desk.uncertain.is_some() && !desk.rejected.is_empty();
         if record == machine.record && !touch {
             return false;
@@ -709,7 +715,7 @@
                         orders.push(Order::Stop(run, grace));
                     }
                 }
-                (Presence::Absent | Presence::MayAppear, None) => {
+                (Presence::Absent | Presence::MayAppear, None) if desk.fresh.contains(&run) => {
                     let pending = desk
                         .starts
                         .get(&run)
@@ -822,7 +828,9 @@
         Presence::Exited(Why::Done) => Some(End::Done),
         Presence::Exited(why) => Some(End::Exited(why)),
         Presence::Absent
-            if desk.stops.contains_key(run) || !replica.jobs.contains_key(&run.task.job) =>
+            if desk.stops.contains_key(run)
+                || !desk.fresh.contains(run)
+                || !replica.jobs.contains_key(&run.task.job) =>
         {
             Some(End::Absent)
         }
