Allotments that can't be written are given back; changes by class in the status

A block was rewritten whenever one allotment stood for 5 s, which fails all that is under way there. Holders give back what they can't write within 5 s, the leader voids after 8 s. The status of the administration API shows requests, changes and refusals by class of use.

--- a/src/daemon/routes.rs
+++ b/src/daemon/routes.rs
@@ -217,6 +217,7 @@
             "up": node.store.is_up(), "request_tokens": requests, "write_tokens": writes,
             "calls": counters.calls.get(), "refused": counters.refused.get(),
             "unanswered": counters.unknown.get(), "held_back": counters.held_back.get(),
+            "classes": &*counters.classes.borrow(),
         },
         "answers": node.stats.json(),
     });
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -39,8 +39,9 @@
     pub cached_only: bool,
 }
 
-/// An allotment without an answer for so long is voided by rewriting its block.
-const ANSWER: Span = Span(5000);
+/// An allotment without an answer for so long is voided by rewriting its block. Holders give back
+/// what they can't write well before that.
+const ANSWER: Span = Span(8000);
 /// A machine whose holder says nothing of it is not used.
 const HEALTH_AGE: Span = Span(5000);
 /// A preemption that has freed nothing by then is forgotten.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -14,6 +14,7 @@
     key_path, page_path,
 };
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokens::{Bucket, Class};
@@ -59,6 +60,15 @@
     pub refused: Cell<u64>,
     pub unknown: Cell<u64>,
     pub held_back: Cell<u64>,
+    /// What each class has asked for and been given.
+    pub classes: RefCell<BTreeMap<Class, ClassUse>>,
+}
+
+#[derive(Clone, Copy, Default, serde::Serialize)]
+pub struct ClassUse {
+    pub requests: u64,
+    pub changes: u64,
+    pub held_back: u64,
 }
 
 fn bump(counter: &Cell<u64>) {
@@ -105,11 +115,16 @@
         let now = self.now();
         let ok = self.requests.borrow_mut().allows(now, 1.0, class)
             && self.writes.borrow_mut().allows(now, writes as f64, class);
+        let mut classes = self.counters.classes.borrow_mut();
+        let class = classes.entry(class).or_default();
         if ok {
             self.requests.borrow_mut().spend(1.0);
             self.writes.borrow_mut().spend(writes as f64);
+            class.requests += 1;
+            class.changes += writes as u64;
         } else {
             bump(&self.counters.held_back);
+            class.held_back += 1;
         }
         ok
     }
--- a/src/store/tokens.rs
+++ b/src/store/tokens.rs
@@ -4,7 +4,8 @@
 use crate::ids::Time;
 
 /// What a call is for; earlier classes may use what later ones must leave.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Class {
     /// Grants, fences and the mirror: never held back.
     Grant,
--- a/src/workers/desk.rs
+++ b/src/workers/desk.rs
@@ -43,6 +43,7 @@
 
 #[derive(Debug)]
 pub struct Incoming {
+    pub since: Time,
     pub run: Run,
     pub spec: Rc<JobSpec>,
     pub job_revision: Revision,
--- a/src/workers/holder.rs
+++ b/src/workers/holder.rs
@@ -62,6 +62,9 @@
 const STOP_RETRY: Span = Span(2000);
 /// How long an allotment waits for the mirror to bring its job.
 const ALLOT_PATIENCE: Span = Span(1500);
+/// An allotment that finds no change for its record by then is given back: left without an answer
+/// the leader would void it by rewriting the whole block, and all that is under way there.
+const GIVEN_BACK: Span = Span(5000);
 const HEALTH: Span = Span(1000);
 const RENEW_PAUSE: Span = Span(4000);
 const COMMAND_BATCH: usize = 200;
@@ -426,6 +429,7 @@
                     Some((job, id)) => {
                         if let Some(desk) = self.desks.get_mut(&id) {
                             desk.incoming.push_back(Incoming {
+                                since: now,
                                 run,
                                 spec: job.spec.clone(),
                                 job_revision: job.revision,
@@ -554,9 +558,11 @@
         // A placement that was committed after all is no longer on its way.
         desk.incoming.retain(|i| !machine.record.holds(&i.run));
         desk.rejected.retain(|run| !machine.record.holds(run));
+        let idle = desk.txn.is_none();
         let stands = |i: &Incoming| {
             let job = replica.jobs.get(&i.run.task.job);
-            job.is_some_and(|j| j.revision == i.job_revision)
+            let late = idle && now.since(i.since) >= GIVEN_BACK;
+            !late && job.is_some_and(|j| j.revision == i.job_revision)
         };
         if !desk.incoming.iter().all(stands) {
             let all = std::mem::take(&mut desk.incoming);
