--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -125,6 +125,7 @@
         }
     };
     let told = node.clone();
+    let assured = node.clone();
     keep_grant(
         node.store.clone(),
         node.config.member.clone(),
@@ -135,6 +136,11 @@
             let effects = told.controller.borrow_mut().set_grant(told.now(), grant);
             told.carry_out(effects);
         },
+        move |until| {
+            let until = until.saturating_duration_since(assured.started);
+            let until = Time(until.as_millis() as u64);
+            assured.controller.borrow_mut().assure(until);
+        },
     )
     .await;
 }
--- a/src/leadership/grants.rs
+++ b/src/leadership/grants.rs
@@ -12,13 +12,14 @@
 const RETRY: Duration = Duration::from_millis(300);
 
 /// Ends what an earlier life of this controller left, then holds a grant for ever. `tell` hears
-/// of each new grant, and of its loss.
+/// of each new grant, and of its loss; `assure` until when it holds for certain.
 pub async fn keep_grant(
     store: Rc<Store>,
     me: Member,
     incarnation: Incarnation,
     life: impl Fn() -> Duration,
     tell: impl Fn(Option<GrantId>),
+    assure: impl Fn(Instant),
 ) {
     let key = keys::member(&me);
     loop {
@@ -27,8 +28,9 @@
         let life_now = life();
         match enter(&store, &key, incarnation, life_now).await {
             Some(grant) => {
+                assure(sent + life_now);
                 tell(Some(grant));
-                extend(&store, grant, life_now, sent).await;
+                extend(&store, grant, life_now, sent, &assure).await;
                 tell(None);
             }
             None => runtime::sleep(RETRY).await,
@@ -67,12 +69,21 @@
 }
 
 /// Returns once the grant is gone.
-async fn extend(store: &Store, grant: GrantId, life: Duration, mut sent: Instant) {
+async fn extend(
+    store: &Store,
+    grant: GrantId,
+    life: Duration,
+    mut sent: Instant,
+    assure: impl Fn(Instant),
+) {
     loop {
         runtime::sleep(life / 3).await;
         let now = Instant::now();
         match store.extend_grant(grant).await {
-            Ok(()) => sent = now,
+            Ok(()) => {
+                sent = now;
+                assure(sent + life);
+            }
             Err(StoreError::Gone) => return,
             // In an outage grants keep their time; only the service can say that it is gone.
             Err(StoreError::Unavailable) => {
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -468,7 +468,10 @@
         self.store.txn(&txn);
         self.nodes[node].grant = Some(grant);
         let (now, life) = (self.now, self.nodes[node].life);
-        self.with(node, life, |c| c.set_grant(now, Some(grant)));
+        self.with(node, life, |c| {
+            c.assure(Time(now.0 + 5000));
+            c.set_grant(now, Some(grant))
+        });
     }
 
     fn extend(&mut self, node: usize) {
@@ -480,6 +483,9 @@
         {
             if let Some(until) = self.store.grants.get_mut(&grant) {
                 *until = Time(self.now.0 + 5000);
+                if let Some(c) = self.nodes[node].controller.as_mut() {
+                    c.assure(Time(self.now.0 + 5000));
+                }
             } else if let Some(c) = &self.nodes[node].controller {
                 let incarnation = c.leadership.incarnation();
                 self.enter(node, incarnation);
--- a/src/workers/holder.rs
+++ b/src/workers/holder.rs
@@ -175,6 +175,12 @@
         }
     }
 
+    /// A machine was found without a change of the mirror: on a quiet day no other would bring
+    /// its desk (seen with real processes, entry 54be1785).
+    pub fn look_again(&mut self) {
+        self.seen = Revision(0);
+    }
+
     /// Opens desks for machines that came, closes those of machines or blocks that went, and
     /// starts afresh those whose block was rewritten.
     fn open_desks(&mut self, now: Time, replica: &Replica) {
