Cancelled work that can't be reached ends with its machine; watch answers are bounded

Now every controller notes since when a job is over that still has tasks on record; the leader asks the state service whether it was cancelled, and gives the machine up after three quarters of the time if it is silent. Done jobs' ends that were only not written cost no machine. Shown by sim (a zone cut off with a controller in it; tasks of cancelled jobs are now looked for on machines, not only at starts). Answers are bounded by a part of the memory quota now, and one above the bound makes the mirror be read anew by pages; above the old bound of 8 MiB it was asked for again for ever. Test in store.

--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -268,16 +268,10 @@
         self.deleted.retain(|_, at| now.since(*at) < Span(60_000));
         self.no_capacity.retain(|_, until| now < *until);
         // A machine whose record can't be removed yet is gone all the same: once is enough.
-        for id in self.given_up(now, replica, scheduler) {
-            if !self.deleted.contains_key(&id) {
-                self.deleting.entry(id).or_insert(now);
-            }
-        }
-        for id in self.unused(now, replica, scheduler) {
-            if !self.deleted.contains_key(&id) {
-                self.deleting.entry(id).or_insert(now);
-            }
-        }
+        let silent = self.given_up(now, replica, scheduler);
+        self.give_up(now, silent);
+        let needless = self.unused(now, replica, scheduler);
+        self.give_up(now, needless);
         // A record that came back with a late report, or whose removal failed, goes as well.
         for id in self.deleted.keys() {
             if replica.machines.contains_key(id) {
@@ -311,6 +305,21 @@
         replica.machine_type(type_name).map_or(60.0, |t| t.boot_s)
     }
 
+    /// How long a machine may be silent before nothing is hoped for any more.
+    pub fn patience(&self, replica: &Replica) -> Span {
+        Span::from_secs(replica.settings().silent_s)
+            .max(self.config.report + Span(self.config.report.0 / 4 + 2500))
+    }
+
+    /// These machines are deleted, whatever else is thought of them.
+    pub fn give_up(&mut self, now: Time, machines: Vec<MachineId>) {
+        for id in machines {
+            if !self.deleted.contains_key(&id) {
+                self.deleting.entry(id).or_insert(now);
+            }
+        }
+    }
+
     /// Machines that failed, never came up, or have been silent for too long. Deleting them is
     /// also the proof that their tasks are gone.
     fn given_up(&self, now: Time, replica: &Replica, scheduler: &Scheduler) -> Vec<MachineId> {
@@ -321,8 +330,7 @@
                 list.push(id.clone());
             }
         }
-        let patience = Span::from_secs(replica.settings().silent_s)
-            .max(self.config.report + Span(self.config.report.0 / 4 + 2500));
+        let patience = self.patience(replica);
         let mut by_holder: BTreeMap<&str, (usize, Vec<&MachineId>)> = BTreeMap::new();
         for (id, health) in &scheduler.health {
             let lease = replica.blocks.get(&id.block(self.config.blocks()));
--- a/src/cloud/mod.rs
+++ b/src/cloud/mod.rs
@@ -3,5 +3,7 @@
 
 mod demand;
 mod fleet;
+mod overdue;
 
 pub use fleet::{Effect, Fleet, RentOutcome};
+pub use overdue::Overdue;
--- /dev/null
+++ b/src/cloud/overdue.rs
@@ -0,0 +1,113 @@
+//! Tasks of cancelled jobs that could not be stopped in time. Where no command arrives, a task
+//! ends only with its machine: a controller inside a cut-off zone goes on answering its workers,
+//! so their leases never run out (hunt 7f89873a: `ran_cancelled`, 46 s after the cancellation).
+//!
+//! That a job is gone from the mirror does not say how it ended, and most end done; deleting
+//! machines for those would throw away healthy work. So the state service is asked first.
+
+use crate::ids::{JobId, MachineId, Span, Time};
+use crate::placement::Scheduler;
+use crate::store::replica::Replica;
+use crate::wire::JobState;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The part of the time for a cancellation that is kept for asking and deleting.
+const RESERVE: u64 = 4;
+/// A question without an answer is asked again after this.
+const ASK_AGAIN: Span = Span(2000);
+
+#[derive(Debug)]
+struct Ended {
+    /// Not known for those that were over when this process began: that may be long ago.
+    since: Option<Time>,
+    asked: Option<Time>,
+    state: Option<JobState>,
+}
+
+/// Jobs that are over and still have tasks on record, since when, and how they ended. Every
+/// controller keeps it, so that the next leader knows the times as well.
+#[derive(Debug, Default)]
+pub struct Overdue {
+    ended: BTreeMap<JobId, Ended>,
+    begun: bool,
+}
+
+/// What the leader does about them.
+#[derive(Debug, Default)]
+pub struct Due {
+    /// How these jobs ended has to be read.
+    pub ask: Vec<JobId>,
+    /// These machines have to go: their deletion is the proof.
+    pub give_up: Vec<MachineId>,
+}
+
+impl Overdue {
+    /// Notes which jobs are over. A process that has just begun can't know for how long.
+    pub fn look(&mut self, now: Time, replica: &Replica) {
+        let since = self.begun.then_some(now);
+        self.begun = true;
+        let groups = replica.machines.values().flat_map(|m| &m.record.jobs);
+        let over: BTreeSet<&JobId> = groups
+            .map(|g| &g.job)
+            .filter(|job| !replica.jobs.contains_key(*job))
+            .collect();
+        self.ended.retain(|job, _| over.contains(job));
+        for job in over {
+            if !self.ended.contains_key(job) {
+                let ended = Ended {
+                    since,
+                    asked: None,
+                    state: None,
+                };
+                self.ended.insert(job.clone(), ended);
+            }
+        }
+    }
+
+    pub fn learn(&mut self, job: &JobId, state: JobState) {
+        if let Some(ended) = self.ended.get_mut(job) {
+            ended.state = Some(state);
+        }
+    }
+
+    /// The machines on which a cancelled job's time runs out, out of those that have been silent
+    /// for so long that no command can be hoped to arrive.
+    pub fn due(
+        &mut self,
+        now: Time,
+        cancel: Span,
+        patience: Span,
+        replica: &Replica,
+        scheduler: &Scheduler,
+    ) -> Due {
+        let mut due = Due::default();
+        let limit = Span(cancel.0 - cancel.0 / RESERVE);
+        for (id, machine) in &replica.machines {
+            if self.ended.is_empty() || !scheduler.is_silent(now, id, patience, replica) {
+                continue;
+            }
+            for (run, _) in machine.record.runs() {
+                let Some(ended) = self.ended.get_mut(&run.task.job) else {
+                    continue;
+                };
+                let early = ended.since.is_some_and(|at| now.since(at) < limit);
+                if early || scheduler.is_freed(&run) {
+                    continue;
+                }
+                match ended.state {
+                    Some(JobState::Cancelled) => {
+                        due.give_up.push(id.clone());
+                        break;
+                    }
+                    Some(_) => {}
+                    None if ended.asked.is_none_or(|at| now.since(at) >= ASK_AGAIN) => {
+                        ended.asked = Some(now);
+                        due.ask.push(run.task.job.clone());
+                    }
+                    None => {}
+                }
+            }
+        }
+        due
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -41,6 +41,8 @@
     pub teams: BTreeMap<TeamId, Team>,
     pub report: Span,
     pub gang_wait: Span,
+    /// Within this time all tasks of a cancelled job must be gone.
+    pub cancel: Span,
     /// How long work within a guarantee waits before room is made for it: half of what the
     /// operators are held to.
     pub guarantee_patience: Span,
@@ -51,8 +53,15 @@
     pub cloud_rps: f64,
     pub list_lag: Span,
     pub sockets: usize,
+    /// The largest answer of the state service that is read at once.
+    pub answer_bytes: usize,
 }
 
+/// A page of the state service's lists, in full and with room for what it is wrapped in.
+const PAGE: f64 = 1024.0 * 1024.0;
+/// Parsed, an answer takes several times its size; that must stay a small part of the memory.
+const ANSWER_PART: f64 = 1.0 / 32.0;
+
 #[derive(Deserialize)]
 struct File {
     member: String,
@@ -106,6 +115,7 @@
 struct FileWorkers {
     report_s: f64,
     gang_wait_s: f64,
+    cancel_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -124,6 +134,7 @@
 
 #[derive(Deserialize)]
 struct FileQuota {
+    ram_mb: f64,
     sockets: usize,
 }
 
@@ -242,6 +253,7 @@
             teams,
             report: Span::from_secs(positive("params.workers.report_s", workers.report_s)?),
             guarantee_patience: Span::from_secs(within.unwrap_or(10.0) / 2.0),
+            cancel: Span::from_secs(positive("params.workers.cancel_s", workers.cancel_s)?),
             gang_wait: Span::from_secs(positive(
                 "params.workers.gang_wait_s",
                 workers.gang_wait_s,
@@ -256,6 +268,11 @@
                 params.cloud.list_lag_s,
             )?),
             sockets: params.quota.sockets,
+            answer_bytes: (positive("params.quota.ram_mb", params.quota.ram_mb)?
+                * 1024.0
+                * 1024.0
+                * ANSWER_PART)
+                .max(PAGE) as usize,
         })
     }
 
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1,7 +1,7 @@
 //! All decisions of one controller: the slices put together, still without I/O, clock or
 //! randomness of its own. The daemon carries out the effects; tests do so in simulated time.
 
-use crate::cloud::{self, Fleet, RentOutcome};
+use crate::cloud::{self, Fleet, Overdue, RentOutcome};
 use crate::config::Config;
 use crate::ids::{GrantId, Incarnation, JobId, MachineId, Member, Revision, Span, Time, Token};
 use crate::leadership::Leadership;
@@ -14,7 +14,7 @@
 use crate::store::replica::Replica;
 use crate::store::tokens::Class;
 use crate::wire::state::{Event, Txn};
-use crate::wire::{Catalog, ListedMachine, Order, RentRequest, Report};
+use crate::wire::{Catalog, JobState, ListedMachine, Order, RentRequest, Report};
 use crate::workers::{self, CallOutcome, CheckinAnswer, Holder};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -51,6 +51,8 @@
     Delete(Vec<MachineId>),
     List,
     Catalog,
+    /// Read how a job that is over has ended.
+    Standing(JobId),
 }
 
 const SCHEDULE_PAUSE: Span = Span(15);
@@ -59,6 +61,7 @@
 const SYNC_EVERY: Span = Span(200);
 const HISTORY_EVERY: Span = Span(5000);
 const CLEAN_EVERY: Span = Span(2000);
+const OVERDUE_EVERY: Span = Span(1000);
 /// Plans gather for so long, or until a record is half full, to be written in one change.
 const PLANS_GATHER: Span = Span(1000);
 /// Counters that are brought up to date at once.
@@ -76,6 +79,8 @@
     pub holder: Holder,
     pub scheduler: Scheduler,
     pub fleet: Fleet,
+    overdue: Overdue,
+    next_overdue: Time,
     history: History,
     /// Plans that are made and not yet written.
     plans: BTreeMap<JobId, PlanRecord>,
@@ -108,6 +113,8 @@
             holder: Holder::new(config, incarnation),
             scheduler: Scheduler::new(config),
             fleet: Fleet::new(config),
+            overdue: Overdue::default(),
+            next_overdue: zero,
             history: History::default(),
             plans: BTreeMap::new(),
             plans_in_flight: false,
@@ -254,6 +261,12 @@
         effects
     }
 
+    pub fn on_standing(&mut self, now: Time, job: &JobId, state: JobState) -> Vec<Effect> {
+        self.overdue.learn(job, state);
+        self.next_overdue = now;
+        self.turn(now)
+    }
+
     pub fn tick(&mut self, now: Time, wall: crate::ids::Wall) -> Vec<Effect> {
         self.fleet.wall = wall;
         self.scheduler.wall = wall;
@@ -403,8 +416,18 @@
                 txn,
             });
         }
+        let overdue = now >= self.next_overdue;
+        if overdue {
+            self.next_overdue = now + OVERDUE_EVERY;
+            self.overdue.look(now, &self.replica);
+        }
         match self.leadership.settled_term(&self.replica) {
-            Some(term) if now < self.assured => self.lead(now, term, &mut effects),
+            Some(term) if now < self.assured => {
+                if overdue {
+                    self.give_up_overdue(now, &mut effects);
+                }
+                self.lead(now, term, &mut effects);
+            }
             // Perhaps somebody else leads by now.
             Some(_) => {}
             None => {
@@ -481,6 +504,24 @@
         }
     }
 
+    /// Gives up machines on which a cancelled job's tasks could not be stopped in time.
+    fn give_up_overdue(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let patience = self.fleet.patience(&self.replica);
+        let due = self.overdue.due(
+            now,
+            self.config.cancel,
+            patience,
+            &self.replica,
+            &self.scheduler,
+        );
+        effects.extend(due.ask.into_iter().map(Effect::Standing));
+        if !due.give_up.is_empty() {
+            tracing::info!(machines = ?due.give_up, "cancelled work can't be stopped there");
+            self.fleet.give_up(now, due.give_up);
+            self.next_fleet = now;
+        }
+    }
+
     /// Plans what was accepted. The plan serves at once; its record follows.
     fn plan(&mut self, now: Time) {
         let new: Vec<JobId> = self
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -70,6 +70,7 @@
         config.state_addr,
         config.state_rps * share,
         config.state_write_rps * share,
+        config.answer_bytes,
         started,
     ));
     let controller = Rc::new(RefCell::new(Controller::new(&config, incarnation)));
@@ -307,6 +308,13 @@
                         .on_deleted(node.now(), &ids, ok);
                     node.carry_out(effects);
                 }),
+                Effect::Standing(job) => runtime::spawn(async move {
+                    if let Some(state) = node.intake.standing(&job).await {
+                        let now = node.now();
+                        let effects = node.controller.borrow_mut().on_standing(now, &job, state);
+                        node.carry_out(effects);
+                    }
+                }),
                 Effect::List => runtime::spawn(async move {
                     let list = node.cloud.list().await;
                     let effects = node.controller.borrow_mut().on_list(node.now(), list);
@@ -363,7 +371,7 @@
                         }
                     }
                     Err(Failure::NotSent) => CallOutcome::NotSent,
-                    Err(Failure::Unknown) => CallOutcome::Unknown,
+                    Err(Failure::Unknown | Failure::TooLarge) => CallOutcome::Unknown,
                 }
             }
         };
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,6 +1,8 @@
 //! The client: a small pool of kept connections for each address, and a timeout on every call.
 
-use super::{Framing, HEAD_LIMIT, MAX_HEADERS, Method, Response, decode_chunks, invalid};
+use super::{
+    Framing, HEAD_LIMIT, MAX_HEADERS, Method, Response, decode_chunks, invalid, too_large,
+};
 use crate::runtime::{self, TcpStream};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -19,6 +21,9 @@
     NotSent,
     #[error("sent, outcome unknown")]
     Unknown,
+    /// Carried out, and answered with more than is read here.
+    #[error("the answer is too large")]
+    TooLarge,
 }
 
 #[derive(Clone)]
@@ -72,7 +77,10 @@
             Some(Ok(response)) => Ok(response),
             Some(Err(error)) => {
                 tracing::debug!(%addr, path, %error, "call failed");
-                Err(sent)
+                match error.kind() {
+                    io::ErrorKind::FileTooLarge => Err(Failure::TooLarge),
+                    _ => Err(sent),
+                }
             }
             None => Err(sent),
         }
@@ -145,13 +153,13 @@
         match decode_chunks(rest, limit)? {
             Some((body, _)) => (body, !framing.close),
             None if buffer.len() > 2 * limit + HEAD_LIMIT => {
-                return Err(invalid("body too large"));
+                return Err(too_large());
             }
             None => return Ok(None),
         }
     } else if let Some(length) = framing.length {
         if length > limit {
-            return Err(invalid("body too large"));
+            return Err(too_large());
         }
         match rest.get(..length) {
             Some(body) => (body.to_vec(), !framing.close && rest.len() == length),
@@ -160,7 +168,7 @@
     } else if status == 204 || status == 304 {
         (Vec::new(), !framing.close)
     } else if rest.len() > limit {
-        return Err(invalid("body too large"));
+        return Err(too_large());
     } else if at_end {
         (rest.to_vec(), false)
     } else {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -97,6 +97,11 @@
     }
 }
 
+/// A body over its bound, told from a broken one: the same call would end the same way.
+fn too_large() -> io::Error {
+    io::Error::new(io::ErrorKind::FileTooLarge, "body too large")
+}
+
 fn invalid(message: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, message)
 }
@@ -143,7 +148,7 @@
             Ok(httparse::Status::Complete((head, size))) => {
                 let size = usize::try_from(size).unwrap_or(usize::MAX);
                 if size > limit.saturating_sub(body.len()) {
-                    return Err(invalid("body too large"));
+                    return Err(too_large());
                 }
                 let start = at + head;
                 let Some(chunk) = buffer.get(start..start + size + 2) else {
--- a/src/intake/service.rs
+++ b/src/intake/service.rs
@@ -209,6 +209,15 @@
         Ok(Some(record))
     }
 
+    /// How a job that is over has ended, if that can be read now.
+    pub async fn standing(&self, id: &JobId) -> Option<JobState> {
+        let known = self.over.borrow().get(id).map(|r| r.state);
+        match known {
+            Some(state) => Some(state),
+            None => Some(self.read_over(id).await.ok()??.state),
+        }
+    }
+
     pub async fn cancel(&self, id: &str) -> Response {
         if !valid_job_id(id) {
             return Response::error(404, "no such job");
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -584,6 +584,21 @@
         health.is_some_and(|h| now.since(h.at) < HEALTH_AGE)
     }
 
+    /// Whether its present holder says that nothing has come from a machine for so long.
+    pub fn is_silent(&self, now: Time, id: &MachineId, for_long: Span, replica: &Replica) -> bool {
+        let lease = replica.blocks.get(&id.block(self.config.blocks()));
+        self.health.get(id).is_some_and(|h| {
+            lease.is_some_and(|l| l.revision == h.last.fence)
+                && h.last.silent >= for_long
+                && now.since(h.at) < HEALTH_AGE
+        })
+    }
+
+    /// Whether a holder has told that a placement is proved gone.
+    pub fn is_freed(&self, run: &Run) -> bool {
+        self.freed.contains_key(run)
+    }
+
     /// Whether a machine can take work: its holder has it, under the present token, and no
     /// notice or fault stands against it.
     pub fn usable(&self, now: Time, id: &MachineId, replica: &Replica) -> bool {
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -93,6 +93,23 @@
     days_with("controllers apart", 70..74, apart);
 }
 
+/// The controller inside keeps its machines' leases alive, so what was cancelled goes on there
+/// until the machine is deleted (hunt 7f89873a).
+#[test]
+fn rules_hold_while_a_zone_is_cut_off_with_a_controller_in_it() {
+    let zone = Trouble {
+        zone: true,
+        crowd: true,
+        ..Trouble::default()
+    };
+    days_with("zone", 110..116, zone);
+    let crashes = Trouble {
+        crashes: true,
+        ..zone
+    };
+    days_with("zone and crashes", 116..120, crashes);
+}
+
 #[test]
 fn rules_hold_while_processes_are_back_at_once_in_mid_election() {
     let flaps = Trouble {
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -40,6 +40,8 @@
     pub flaps: bool,
     /// Users ask for more than their teams' limits all the time.
     pub crowd: bool,
+    /// A zone is cut off from everything outside, with a controller in it.
+    pub zone: bool,
     /// Requests that were carried out come once more, up to several leases later.
     pub repeats: bool,
 }
@@ -55,6 +57,7 @@
         apart: true,
         flaps: true,
         crowd: true,
+        zone: true,
         repeats: true,
     };
 }
@@ -168,6 +171,8 @@
     pub store: StoreModel,
     nodes: Vec<Node>,
     workers: BTreeMap<MachineId, Worker>,
+    /// Zone `b` and the controller in it hear nothing from outside until then.
+    zone_cut_until: Time,
     rented: BTreeMap<String, Vec<MachineId>>,
     next_machine: u64,
     pub jobs: BTreeMap<JobId, JobSpec>,
@@ -183,6 +188,8 @@
 }
 
 const MEMBERS: [&str; 3] = ["c0", "c1", "c2"];
+/// The controller in zone `b`.
+const INSIDE: usize = 2;
 const LEASE: u64 = 16_000;
 const CANCEL: u64 = 30_000;
 /// A machine that nothing reaches for so long must have been given up.
@@ -218,6 +225,7 @@
             },
             nodes: nodes.collect(),
             workers: BTreeMap::new(),
+            zone_cut_until: Time(0),
             rented: BTreeMap::new(),
             next_machine: 0,
             jobs: BTreeMap::new(),
@@ -269,9 +277,19 @@
         }
     }
 
+    /// How long a message between a controller and a machine is held.
+    fn held(&self, node: usize, zone: &str) -> Time {
+        if (node == INSIDE) == (zone == "b") {
+            Time(0)
+        } else {
+            self.zone_cut_until
+        }
+    }
+
     /// Ends all troubles, so that what remains must finish.
     pub fn heal(&mut self) {
         self.healed = true;
+        self.zone_cut_until = self.now;
         self.trouble = Trouble::default();
         for node in &mut self.nodes {
             node.store_cut_until = self.now;
@@ -593,6 +611,7 @@
             _ => CallOutcome::Unknown,
         };
         let ghost = self.breakage == Breakage::GhostsAnswer && self.gone.contains(&id);
+        let cut = self.workers.get(&id).map(|w| self.held(node, w.zone));
         let Some(worker) = self.workers.get_mut(&id).filter(|w| !w.dead) else {
             if ghost {
                 let mut ghost = self.new_worker(false);
@@ -620,7 +639,8 @@
         let silent = worker
             .cut_until
             .max(worker.hang_until)
-            .max(worker.deaf_until);
+            .max(worker.deaf_until)
+            .max(cut.unwrap_or_default());
         if silent > now || (lost && tries == 0) {
             // Held, and carried out when the machine goes on, long after the sender gave up.
             if tries == 0 {
@@ -732,6 +752,7 @@
     /// Gangs start together once all are there, end together, and notice a member's loss.
     fn gangs(&mut self) {
         let now = self.now;
+        self.check_cancelled();
         let mut there: BTreeMap<(JobId, crate::ids::Attempt), Vec<TaskState>> = BTreeMap::new();
         let up = |w: &&mut Worker| !w.dead && w.hang_until <= now;
         for worker in self.workers.values_mut().filter(up) {
@@ -782,6 +803,12 @@
 
     fn checkin(&mut self, node: usize, id: MachineId, ticket: u64, report: Report) {
         let now = self.now;
+        let held = self.held(node, report.zone.as_str());
+        if held > now {
+            // It arrives after the cut; nobody waits for the answer any more.
+            self.after(held.since(now).0 + 3, What::Copy(node, report));
+            return;
+        }
         let Some(c) = self.nodes[node].controller.as_mut() else {
             self.after(5, What::Redirect(id, ticket, None));
             return;
@@ -912,6 +939,14 @@
                 .expect("catalog");
                 self.with(node, life, |c| c.on_catalog(now, Some(catalog)));
             }
+            Effect::Standing(job) => {
+                let over = self.store.keys.get(&keys::over(&job));
+                let record = over.and_then(|v| serde_json::from_value(v.0.clone()).ok());
+                let cut = self.nodes[node].store_cut_until > now;
+                if let Some(OverRecord { state, .. }) = record.filter(|_| !cut) {
+                    self.with(node, life, |c| c.on_standing(now, &job, state));
+                }
+            }
             Effect::Txn { .. } | Effect::Call { .. } | Effect::Peer(..) => {}
         }
     }
@@ -964,6 +999,12 @@
             self.nodes[victim].store_cut_until = until;
             self.nodes[victim].peers_cut_until = until;
         }
+        if self.trouble.zone && self.zone_cut_until <= self.now && self.chance(20) {
+            let until = Time(self.now.0 + self.pick(LEASE, 4 * LEASE));
+            self.zone_cut_until = until;
+            self.nodes[INSIDE].store_cut_until = until;
+            self.nodes[INSIDE].peers_cut_until = until;
+        }
         if self.trouble.deaf && self.chance(35) && !self.workers.is_empty() {
             let at = self.pick(0, self.workers.len() as u64 - 1) as usize;
             let until = Time(self.now.0 + self.pick(3000, 45_000));
@@ -1153,6 +1194,22 @@
         }
     }
 
+    /// `ran_cancelled` for what is on a machine, reachable or not.
+    fn check_cancelled(&mut self) {
+        let late = |job: &JobId| {
+            let at = self.cancelled.get(job);
+            at.is_some_and(|at| self.now.since(*at).0 > CANCEL)
+        };
+        let there = self.workers.iter().filter(|(_, w)| !w.dead);
+        let runs = there.flat_map(|(id, w)| w.tasks.iter().map(move |(run, task)| (id, run, task)));
+        let alive = runs.filter(|(_, _, t)| t.state != TaskState::Exited);
+        let kept = alive.filter(|(_, run, _)| late(&run.task.job));
+        let kept: Vec<String> = kept.map(|(id, run, _)| format!("{run} on {id}")).collect();
+        for what in kept {
+            self.breaks("ran_cancelled", what);
+        }
+    }
+
     /// The rules about what is on machines, at each start.
     fn check_starts(&mut self, at: &MachineId, launched: &[Run]) {
         if self.scale.is_some() {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -21,8 +21,6 @@
 
 /// Usual answers take some ms, a few take some hundred.
 const CALL: Duration = Duration::from_millis(1500);
-/// A snapshot page is at most 512 KiB; a follow answer has no limit of its own.
-const BODY_LIMIT: usize = 8 * 1024 * 1024;
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum TxnOutcome {
@@ -76,9 +74,17 @@
 }
 
 impl Store {
-    pub fn new(addr: SocketAddr, rps: f64, write_rps: f64, started: Instant) -> Self {
+    /// `answer_bytes`: the largest answer that is read. Pages of a list are bounded by the service,
+    /// an answer of changes is not.
+    pub fn new(
+        addr: SocketAddr,
+        rps: f64,
+        write_rps: f64,
+        answer_bytes: usize,
+        started: Instant,
+    ) -> Self {
         Self {
-            client: Client::new(BODY_LIMIT, 1),
+            client: Client::new(answer_bytes, 1),
             addr,
             requests: RefCell::new(Bucket::new(rps)),
             writes: RefCell::new(Bucket::new(write_rps)),
@@ -183,7 +189,7 @@
                 TxnOutcome::Refused
             }
             Err(Failure::NotSent) => TxnOutcome::Refused,
-            Ok(_) | Err(Failure::Unknown) => TxnOutcome::Unknown,
+            Ok(_) | Err(Failure::Unknown | Failure::TooLarge) => TxnOutcome::Unknown,
         }
     }
 
@@ -219,7 +225,10 @@
         let path = follow_path(prefix, after, block.as_millis() as u64);
         match self.call(Method::Get, &path, b"", block + CALL).await {
             Ok((200, body)) => serde_json::from_slice(&body).map_err(|_| StoreError::Unavailable),
-            Ok((410, _)) => Err(StoreError::Gone),
+            // So many changes at once, after half a minute without any, took most of the memory a
+            // controller has; one above the bound was asked for again for ever, and the mirror
+            // stood still (Savannah fleet, zone). Pages of all there is are bounded.
+            Ok((410, _)) | Err(Failure::TooLarge) => Err(StoreError::Gone),
             _ => Err(StoreError::Unavailable),
         }
     }
@@ -258,3 +267,37 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::http::{Response, serve};
+    use crate::runtime::{self, TcpListener};
+
+    /// More changes at once than memory allows: the mirror is read anew, page by page. Asked for
+    /// again it would come again, and the mirror would stand still.
+    #[test]
+    fn a_watch_answer_over_its_bound_counts_as_too_old() {
+        runtime::run(async {
+            let listener = TcpListener::bind("127.0.0.1:0".parse().expect("addr")).expect("bind");
+            let addr = listener.local_addr().expect("addr");
+            let mut scope = runtime::Scope::default();
+            scope.spawn(serve(listener, 10, |request| async move {
+                let events = match request.path.contains("after=1&") {
+                    true => vec!["x"; 1000],
+                    false => Vec::new(),
+                };
+                Response::json(
+                    200,
+                    &serde_json::json!({"edition": 9, "filler": events, "events": []}),
+                )
+            }));
+            let store = Store::new(addr, 1000.0, 100.0, 2000, Instant::now());
+            let follow = |after| store.follow(keys::LIVE, Revision(after), Duration::ZERO);
+            assert_eq!(follow(1).await.err(), Some(StoreError::Gone));
+            assert_eq!(follow(2).await.map(|e| e.revision).ok(), Some(Revision(9)));
+            drop(scope);
+        })
+        .expect("loop");
+    }
+}
