--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -40,6 +40,10 @@
     pub flaps: bool,
     /// Users ask for more than their teams' limits all the time.
     pub crowd: bool,
+    /// A zone is cut off from everything outside, with a controller in it.
+    pub zone: bool,
+    /// Requests that were carried out come once more, up to several leases later.
+    pub repeats: bool,
 }
 
 impl Trouble {
@@ -53,6 +57,8 @@
         apart: true,
         flaps: true,
         crowd: true,
+        zone: true,
+        repeats: true,
     };
 }
 
@@ -70,6 +76,8 @@
     GhostsAnswer,
     /// Commands count as carried out by machines that nothing reaches.
     DeafObey,
+    /// Workers forget exited tasks once they have reported them, as if told to at once.
+    ForgottenAtOnce,
 }
 
 pub enum What {
@@ -163,6 +171,8 @@
     pub store: StoreModel,
     nodes: Vec<Node>,
     workers: BTreeMap<MachineId, Worker>,
+    /// Zone `b` and the controller in it hear nothing from outside until then.
+    zone_cut_until: Time,
     rented: BTreeMap<String, Vec<MachineId>>,
     next_machine: u64,
     pub jobs: BTreeMap<JobId, JobSpec>,
@@ -178,6 +188,8 @@
 }
 
 const MEMBERS: [&str; 3] = ["c0", "c1", "c2"];
+/// The controller in zone `b`.
+const INSIDE: usize = 2;
 const LEASE: u64 = 16_000;
 const CANCEL: u64 = 30_000;
 /// A machine that nothing reaches for so long must have been given up.
@@ -213,6 +225,7 @@
             },
             nodes: nodes.collect(),
             workers: BTreeMap::new(),
+            zone_cut_until: Time(0),
             rented: BTreeMap::new(),
             next_machine: 0,
             jobs: BTreeMap::new(),
@@ -264,9 +277,19 @@
         }
     }
 
+    /// How long a message between a controller and a machine is held.
+    fn held(&self, node: usize, zone: &str) -> Time {
+        if (node == INSIDE) == (zone == "b") {
+            Time(0)
+        } else {
+            self.zone_cut_until
+        }
+    }
+
     /// Ends all troubles, so that what remains must finish.
     pub fn heal(&mut self) {
         self.healed = true;
+        self.zone_cut_until = self.now;
         self.trouble = Trouble::default();
         for node in &mut self.nodes {
             node.store_cut_until = self.now;
@@ -355,6 +378,10 @@
                     self.store.txn(&txn)
                 };
                 self.check_over();
+                if let Some(ms) = self.repeat() {
+                    let again = What::Txn(node, life, owner.clone(), txn, false);
+                    self.after(ms, again);
+                }
                 if let TxnOutcome::Committed(revision) = &outcome
                     && !self.trouble.lost_answers
                     && !self.healed
@@ -458,6 +485,9 @@
             self.store.end_grant(old);
         }
         let grant = self.store.create_grant(Time(self.now.0 + 5000));
+        if self.repeat().is_some() {
+            self.store.create_grant(Time(self.now.0 + 5000));
+        }
         let member = Member::from(MEMBERS[node]);
         let mut txn = Txn::default();
         txn.put(
@@ -581,6 +611,7 @@
             _ => CallOutcome::Unknown,
         };
         let ghost = self.breakage == Breakage::GhostsAnswer && self.gone.contains(&id);
+        let cut = self.workers.get(&id).map(|w| self.held(node, w.zone));
         let Some(worker) = self.workers.get_mut(&id).filter(|w| !w.dead) else {
             if ghost {
                 let mut ghost = self.new_worker(false);
@@ -608,7 +639,8 @@
         let silent = worker
             .cut_until
             .max(worker.hang_until)
-            .max(worker.deaf_until);
+            .max(worker.deaf_until)
+            .max(cut.unwrap_or_default());
         if silent > now || (lost && tries == 0) {
             // Held, and carried out when the machine goes on, long after the sender gave up.
             if tries == 0 {
@@ -628,6 +660,7 @@
             worker.token = token;
             launched = worker.obey(now, &orders);
         }
+        let (id_again, orders_again) = (id.clone(), orders);
         let report = worker.report(id.as_str());
         self.check_starts(&id, &launched);
         if tries == 0 {
@@ -638,6 +671,24 @@
             };
             self.after(2, What::CallDone(node, life, id, token, outcome));
         }
+        if ok && let Some(ms) = self.repeat() {
+            let again = What::Call(
+                node,
+                life,
+                id_again,
+                token,
+                session,
+                orders_again,
+                tries + 1,
+            );
+            self.after(ms, again);
+        }
+    }
+
+    /// When what was just carried out comes once more, if it does.
+    fn repeat(&mut self) -> Option<u64> {
+        let comes = self.trouble.repeats && self.chance(10);
+        comes.then(|| self.pick(200, 4 * LEASE))
     }
 
     /// One worker's turn: finish tasks, let the lease run out, report.
@@ -701,6 +752,7 @@
     /// Gangs start together once all are there, end together, and notice a member's loss.
     fn gangs(&mut self) {
         let now = self.now;
+        self.check_cancelled();
         let mut there: BTreeMap<(JobId, crate::ids::Attempt), Vec<TaskState>> = BTreeMap::new();
         let up = |w: &&mut Worker| !w.dead && w.hang_until <= now;
         for worker in self.workers.values_mut().filter(up) {
@@ -751,6 +803,12 @@
 
     fn checkin(&mut self, node: usize, id: MachineId, ticket: u64, report: Report) {
         let now = self.now;
+        let held = self.held(node, report.zone.as_str());
+        if held > now {
+            // It arrives after the cut; nobody waits for the answer any more.
+            self.after(held.since(now).0 + 3, What::Copy(node, report));
+            return;
+        }
         let Some(c) = self.nodes[node].controller.as_mut() else {
             self.after(5, What::Redirect(id, ticket, None));
             return;
@@ -799,6 +857,9 @@
         }
         let launched = w.obey(now, orders);
         w.answered = sent;
+        if self.breakage == Breakage::ForgottenAtOnce {
+            w.forget_exited();
+        }
         if token > w.token || !orders.is_empty() {
             w.next_report = Time(now.0 + 500);
         }
@@ -808,6 +869,17 @@
 
     fn cloud(&mut self, node: usize, life: u64, effect: Effect) {
         let now = self.now;
+        if let Some(ms) = self.repeat() {
+            let again = match &effect {
+                Effect::Rent(request) => Some(Effect::Rent(request.clone())),
+                Effect::Delete(ids) => Some(Effect::Delete(ids.clone())),
+                _ => None,
+            };
+            if let Some(again) = again {
+                // Nobody waits for the answer any more.
+                self.after(ms, What::Cloud(node, u64::MAX, again));
+            }
+        }
         match effect {
             Effect::Rent(request) => {
                 let known = self.rented.get(&request.request).cloned();
@@ -867,6 +939,14 @@
                 .expect("catalog");
                 self.with(node, life, |c| c.on_catalog(now, Some(catalog)));
             }
+            Effect::Standing(job) => {
+                let over = self.store.keys.get(&keys::over(&job));
+                let record = over.and_then(|v| serde_json::from_value(v.0.clone()).ok());
+                let cut = self.nodes[node].store_cut_until > now;
+                if let Some(OverRecord { state, .. }) = record.filter(|_| !cut) {
+                    self.with(node, life, |c| c.on_standing(now, &job, state));
+                }
+            }
             Effect::Txn { .. } | Effect::Call { .. } | Effect::Peer(..) => {}
         }
     }
@@ -919,6 +999,12 @@
             self.nodes[victim].store_cut_until = until;
             self.nodes[victim].peers_cut_until = until;
         }
+        if self.trouble.zone && self.zone_cut_until <= self.now && self.chance(20) {
+            let until = Time(self.now.0 + self.pick(LEASE, 4 * LEASE));
+            self.zone_cut_until = until;
+            self.nodes[INSIDE].store_cut_until = until;
+            self.nodes[INSIDE].peers_cut_until = until;
+        }
         if self.trouble.deaf && self.chance(35) && !self.workers.is_empty() {
             let at = self.pick(0, self.workers.len() as u64 - 1) as usize;
             let until = Time(self.now.0 + self.pick(3000, 45_000));
@@ -998,6 +1084,8 @@
         }
         let spec = JobSpec::parse(body.to_string().as_bytes()).expect("valid");
         let mut txn = Txn::default();
+        txn.require(keys::job(&spec.id), Revision(0));
+        txn.require(keys::over(&spec.id), Revision(0));
         txn.put(
             keys::job(&spec.id),
             &JobRecord {
@@ -1006,7 +1094,7 @@
             },
             None,
         );
-        self.store.txn(&txn);
+        self.ask(txn);
         self.jobs.insert(spec.id.clone(), spec);
         if n > 3 && self.chance(25) {
             let at = self.pick(0, n as u64 - 1) as usize;
@@ -1019,10 +1107,11 @@
     }
 
     pub fn cancel(&mut self, id: &JobId) {
-        if !self.store.keys.contains_key(&keys::job(id)) {
+        let Some((_, revision, _)) = self.store.keys.get(&keys::job(id)) else {
             return;
-        }
+        };
         let mut txn = Txn::default();
+        txn.require(keys::job(id), *revision);
         let tasks = self.jobs[id].tasks;
         txn.put(
             keys::over(id),
@@ -1033,11 +1122,19 @@
             None,
         );
         txn.delete(keys::job(id));
-        self.store.txn(&txn);
+        self.ask(txn);
         self.cancelled.insert(id.clone(), self.now);
         self.check_over();
     }
 
+    /// What a user asks, as the intake writes it; it may come once more.
+    fn ask(&mut self, txn: Txn) {
+        self.store.txn(&txn);
+        if let Some(ms) = self.repeat() {
+            self.after(ms, What::Txn(0, u64::MAX, TxnOwner::Nobody, txn, false));
+        }
+    }
+
     fn breaks(&mut self, rule: &str, what: impl std::fmt::Display) {
         self.broken
             .push(format!("{rule} at {}: {what}", self.now.0));
@@ -1097,6 +1194,22 @@
         }
     }
 
+    /// `ran_cancelled` for what is on a machine, reachable or not.
+    fn check_cancelled(&mut self) {
+        let late = |job: &JobId| {
+            let at = self.cancelled.get(job);
+            at.is_some_and(|at| self.now.since(*at).0 > CANCEL)
+        };
+        let there = self.workers.iter().filter(|(_, w)| !w.dead);
+        let runs = there.flat_map(|(id, w)| w.tasks.iter().map(move |(run, task)| (id, run, task)));
+        let alive = runs.filter(|(_, _, t)| t.state != TaskState::Exited);
+        let kept = alive.filter(|(_, run, _)| late(&run.task.job));
+        let kept: Vec<String> = kept.map(|(id, run, _)| format!("{run} on {id}")).collect();
+        for what in kept {
+            self.breaks("ran_cancelled", what);
+        }
+    }
+
     /// The rules about what is on machines, at each start.
     fn check_starts(&mut self, at: &MachineId, launched: &[Run]) {
         if self.scale.is_some() {
