--- a/src/sim/growth.rs
+++ b/src/sim/growth.rs
@@ -12,13 +12,12 @@
 use serde_json::json;
 use std::collections::BTreeMap;
 
-/// Changes a second that the stand-in of the state service takes, and its controllers' shares.
-const CHANGES: f64 = 50.0;
+/// The part of the changes that each controller may use.
 const SHARE: f64 = 0.5;
 
 impl World {
     /// Hundreds of machines, and an array every so many ms.
-    pub fn grown(seed: u64, machines: (usize, usize), array_ms: u64) -> Self {
+    pub fn grown(seed: u64, machines: (usize, usize), changes: f64, array_ms: u64) -> Self {
         let mut world = Self::new(seed, Trouble::default(), Breakage::None);
         world.scale = Some(Scale {
             machines,
@@ -26,7 +25,8 @@
             array_ms,
             service_ms: 560,
             tasks: (20, 220),
-            rates: vec![Bucket::new(CHANGES * SHARE); 3],
+            changes,
+            rates: vec![Bucket::new(changes * SHARE); 3],
             counts: Counts::default(),
         });
         world.settle_fleet();
@@ -111,7 +111,7 @@
 
 #[test]
 fn a_grown_fleet_costs_few_changes_for_each_task() {
-    let mut world = World::grown(7, (300, 900), 920);
+    let mut world = World::grown(7, (300, 900), 50.0, 920);
     world.run(120_000);
     let scale = world.scale.take().expect("scale");
     let counts = &scale.counts;
@@ -133,7 +133,7 @@
 /// nothing is looked at again and again.
 #[test]
 fn an_overloaded_fleet_still_places_many_tasks_with_each_change() {
-    let mut world = World::grown(8, (120, 120), 300);
+    let mut world = World::grown(8, (120, 120), 50.0, 300);
     world.run(90_000);
     let scale = world.scale.take().expect("scale");
     let counts = &scale.counts;
@@ -146,3 +146,20 @@
     assert!(world.starts > 10_000, "{} starts", world.starts);
     assert!(by["machines"] <= 2 * world.starts / 10, "{by:?}");
 }
+
+/// Half as many machines again as the largest deployment so far.
+#[test]
+fn a_fleet_of_1800_costs_few_changes_for_each_task() {
+    let mut world = World::grown(9, (1200, 1800), 70.0, 500);
+    world.run(60_000);
+    let scale = world.scale.take().expect("scale");
+    let counts = &scale.counts;
+    let by: &BTreeMap<_, _> = &counts.by_owner;
+    println!(
+        "{counts:?}, {} starts, {} jobs",
+        world.starts,
+        world.jobs.len()
+    );
+    assert!(world.starts > 8_000, "{} starts", world.starts);
+    assert!(by["machines"] <= 4 * world.starts / 10, "{by:?}");
+}
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -145,6 +145,8 @@
     pub array_ms: u64,
     pub service_ms: u64,
     pub tasks: (u64, u64),
+    /// What the state service takes a second.
+    pub changes: f64,
     pub rates: Vec<Bucket>,
     pub counts: Counts,
 }
@@ -319,13 +321,14 @@
     /// The machines of a large fleet, up from the start.
     pub fn settle_fleet(&mut self) {
         let Some(scale) = &self.scale else { return };
+        let changes = scale.changes;
         let more = scale.machines.0.saturating_sub(self.workers.len());
         for _ in 0..more {
             let id = self.new_machine(false);
             self.after(0, What::Boot(id));
         }
         for node in &mut self.nodes {
-            node.config.state_write_rps = 50.0;
+            node.config.state_write_rps = changes;
             node.config.state_rps = 200.0;
             for team in node.config.teams.values_mut() {
                 team.guarantee.cpus = 10_000_000;
