--- a/src/intake/verify.rs
+++ b/src/intake/verify.rs
@@ -9,8 +9,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Questions gather for up to this long, the longer the fewer requests are left: so their number
-/// follows the requests, not the number of unfinished jobs.
+/// Questions gather for so long: users wait for the answer for seconds, and a comparison for each
+/// two of them took a third of all requests there are (Savannah fleet, calm).
 const GATHER: Duration = Duration::from_millis(150);
 /// A comparison that finds no token is tried again while its users still wait for an answer.
 const TRIES: u32 = 6;
@@ -40,7 +40,7 @@
         runtime::spawn(async move {
             while let Some(first) = questions.recv().await {
                 if questions.backlog() + 1 < most {
-                    runtime::sleep(store.pause(GATHER)).await;
+                    runtime::sleep(GATHER).await;
                 }
                 let mut batch = vec![first];
                 while batch.len() < most
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -62,7 +62,7 @@
     pub classes: RefCell<BTreeMap<Class, ClassUse>>,
 }
 
-#[derive(Clone, Copy, Default, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
 pub struct ClassUse {
     pub requests: u64,
     pub changes: u64,
@@ -111,10 +111,11 @@
         )
     }
 
-    /// A pause that grows up to `longest` as the requests are used up.
+    /// A pause that grows up to `longest` as the requests are used up. Never far below: the
+    /// mirrors' watches alone took nearly half of all requests (Savannah fleet, calm).
     pub fn pause(&self, longest: Duration) -> Duration {
         let part = self.requests.borrow_mut().part(self.now());
-        longest.mul_f64((1.0 - part).clamp(0.1, 1.0))
+        longest.mul_f64((1.0 - part).clamp(0.25, 1.0))
     }
 
     fn admit(&self, class: Class, writes: usize) -> bool {
