--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -64,6 +64,8 @@
 const LOOKS: usize = 24;
 /// Machines of a block that its holder may choose from.
 const CHOICES: usize = 6;
+/// A job within a guarantee that has waited so long stands behind work that does not end.
+const STALLED: Span = Span(120_000);
 /// Tasks of one allotment.
 const BATCH: usize = 400;
 
@@ -853,8 +855,7 @@
             // Tasks end all the time, and those of a guarantee are next in line: work is only
             // thrown away for them once waiting won't do.
             let age = Span(self.wall.0.saturating_sub(job.accepted.0));
-            let guaranteed =
-                within.contains(&shortage.job) && age >= self.config.guarantee_patience;
+            let guaranteed = within.contains(&shortage.job) && self.is_worth_room(age);
             let others = self.config.teams.keys().filter(|t| **t != spec.team);
             let borrowed = guaranteed && others.into_iter().any(|t| accounts.beyond_guarantee(t));
             if !borrowed && lowest.is_none_or(|p| p >= spec.priority) {
@@ -871,7 +872,7 @@
                 }
                 let best = candidates
                     .iter()
-                    .filter(|c| !shortage.cached_only || c.has_image(spec))
+                    .filter(|c| !(shortage.cached_only || guaranteed) || c.has_image(spec))
                     .filter_map(|c| {
                         let fair = |run: &Run, placed: &PlacedJob| {
                             let victim = &replica.jobs.get(&run.task.job)?.spec;
@@ -899,6 +900,16 @@
         stops
     }
 
+    /// Whether room is made for a job within a guarantee that has waited so long: while a start
+    /// can still be as prompt as the operators are held to, and then not before it is clear that
+    /// places don't come free by themselves. In between it is first in line for every one that
+    /// does. One task in eight was thrown away for jobs that were late already, on a fleet with a
+    /// queue (Tramite fleet, busy).
+    fn is_worth_room(&self, age: Span) -> bool {
+        let patience = self.config.guarantee_patience.0;
+        (patience..2 * patience).contains(&age.0) || age >= STALLED
+    }
+
     /// Whether something that was allotted to a block before a time is still on its way: only
     /// that can come to a machine which has been left out of the lists since.
     pub fn allotted_before(&self, block: BlockId, at: Time) -> bool {
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -275,6 +275,8 @@
     }
     assert!(scene.drive().1.is_empty());
     let red = scene.job(2, |s| s.tasks = 1);
+    assert!(scene.drive().1.is_empty(), "too late to be prompt");
+    scene.scheduler.wall = Wall(907_000);
     let (_, stops) = scene.drive();
     assert_eq!(stops.len(), 1, "red is within its guarantee, blue beyond");
     assert!(
@@ -282,6 +284,25 @@
         "room that is coming is not asked for twice"
     );
 
+    // Where its image is not, a start could not be prompt anyway.
+    let mut scene = Scene::new();
+    let blue = scene.job(1, |s| {
+        s.team = "blue".into();
+        s.tasks = 12;
+    });
+    for m in 0..3 {
+        let runs: Vec<_> = (0..4)
+            .map(|i| (&blue, m * 4 + i, u64::from(m * 4 + i)))
+            .collect();
+        scene.machine(m, "a", false, &runs);
+    }
+    scene.job(2, |s| {
+        s.tasks = 1;
+        s.image = "another".into();
+    });
+    scene.scheduler.wall = Wall(907_000);
+    assert!(scene.drive().1.is_empty());
+
     // The same team's work of the same priority makes no room.
     let mut scene = Scene::new();
     let first = scene.job(1, |s| s.tasks = 4);
