--- a/src/cloud/demand.rs
+++ b/src/cloud/demand.rs
@@ -4,7 +4,7 @@
 use crate::config::Config;
 use crate::ids::Wall;
 use crate::placement::service_order;
-use crate::store::replica::Replica;
+use crate::store::replica::{LiveJob, Replica};
 use crate::wire::Kind;
 
 /// CPUs, in thousandths.
@@ -80,15 +80,23 @@
     most
 }
 
-/// The load, and the batches that it is made of.
-pub fn load(wall: Wall, replica: &Replica, config: &Config) -> (Load, Vec<Batch>) {
-    let mut load = Load::default();
-    let mut batches = Vec::new();
+/// How long a place is taken by one task of a job, on average.
+pub fn task_time(job: &LiveJob, replica: &Replica) -> f64 {
     let types = replica.catalog.iter().flat_map(|c| &c.value.types);
     let fetch = types
         .map(|t| t.fetch_gb_per_s)
         .fold(1.0, f64::min)
         .max(0.01);
+    let spec = &job.spec;
+    job.plan.as_ref().map_or(spec.estimate_s, |p| p.predicted_s)
+        + OVERHEAD
+        + 0.5 * spec.image_gb / fetch
+}
+
+/// The load, and the batches that it is made of.
+pub fn load(wall: Wall, replica: &Replica, config: &Config) -> (Load, Vec<Batch>) {
+    let mut load = Load::default();
+    let mut batches = Vec::new();
     let mut busy = 0.0;
     for (_, job) in service_order(config, replica) {
         let spec = &job.spec;
@@ -100,9 +108,7 @@
         let limit = config.teams.get(&spec.team).map_or(0, |t| t.limit.cpus);
         let left = spec.tasks.saturating_sub(job.done_count());
         let running = (job.placed.len() as u32).min(left);
-        let task = job.plan.as_ref().map_or(spec.estimate_s, |p| p.predicted_s)
-            + OVERHEAD
-            + 0.5 * spec.image_gb / fetch;
+        let task = task_time(job, replica);
         let width = (need.cpus * u64::from(left)).min(limit) as f64;
         let age = wall.0.saturating_sub(job.accepted.0) as f64 / 1000.0;
         // Without a deadline there is no hurry, but an end.
--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -1,6 +1,7 @@
 //! Decisions about the fleet. No I/O: calls are returned as effects.
 
 use super::demand::{self, Batch, Load};
+use super::flow::Flow;
 use crate::config::Config;
 use crate::ids::{Amounts, MachineId, Revision, Span, Time, TypeName, Wall, Zone};
 use crate::placement::{Scheduler, Shortage, replicas, spare_replicas};
@@ -74,6 +75,7 @@
     /// The load of the last while, its latest, and what the usable machines hold.
     recent: VecDeque<(Time, Load)>,
     load: Load,
+    flow: Flow,
     batches: Vec<Batch>,
     capacity: u64,
     /// What ordinary machines hold of it, and what is kept for the next replicas.
@@ -103,6 +105,7 @@
             deleted: BTreeMap::new(),
             recent: VecDeque::new(),
             load: Load::default(),
+            flow: Flow::default(),
             batches: Vec::new(),
             capacity: 0,
             steady: 0,
@@ -242,6 +245,7 @@
             self.rentals.clear();
             self.deleting.clear();
             self.recent.clear();
+            self.flow.clear();
             self.next_list = now;
         }
     }
@@ -365,7 +369,9 @@
         scheduler: &mut Scheduler,
     ) -> Vec<MachineId> {
         let settings = replica.settings();
-        let (load, batches) = demand::load(self.wall, replica, &self.config);
+        let (mut load, batches) = demand::load(self.wall, replica, &self.config);
+        self.flow.look(self.wall, replica);
+        load.arrays = load.arrays.max(self.flow.cpus(self.wall));
         self.recent.push_back((now, load));
         let window = Span::from_secs(settings.idle_s);
         while self
@@ -514,6 +520,7 @@
         let boot = catalog.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
         let capacity = (self.capacity + on_the_way).saturating_sub(self.load.services);
         let mut lack = demand::lacking(&self.batches, capacity as f64, boot) as u64;
+        lack = lack.max(self.flow.cpus(self.wall).saturating_sub(capacity));
         let mut shortages = scheduler.shortages.clone();
         if shortages.iter().any(|s| s.together) || lack > 0 {
             let mut wanted = lack.max(1);
--- a/src/cloud/mod.rs
+++ b/src/cloud/mod.rs
@@ -3,6 +3,7 @@
 
 mod demand;
 mod fleet;
+mod flow;
 mod overdue;
 
 pub use fleet::{Effect, Fleet, RentOutcome};
