A holder that hears nothing of machines that others hear gives its blocks up

Others now tell the leader which strays report to them; a holder half of whose machines are silent to it, a quarter of those heard elsewhere, gets no blocks for two leases.

--- a/src/config.rs
+++ b/src/config.rs
@@ -40,6 +40,8 @@
     pub controllers: u32,
     pub teams: BTreeMap<TeamId, Team>,
     pub report: Span,
+    /// Without an answer for so long a worker drops its tasks.
+    pub lease: Span,
     pub gang_wait: Span,
     /// Within this time all tasks of a cancelled job must be gone.
     pub cancel: Span,
@@ -114,6 +116,7 @@
 #[derive(Deserialize)]
 struct FileWorkers {
     report_s: f64,
+    lease_s: f64,
     gang_wait_s: f64,
     cancel_s: f64,
 }
@@ -251,6 +254,7 @@
             cloud_addr: address("services.cloud", &file.services.cloud)?,
             state_addr: address("services.state", &file.services.state)?,
             teams,
+            lease: Span::from_secs(positive("params.workers.lease_s", workers.lease_s)?),
             report: Span::from_secs(positive("params.workers.report_s", workers.report_s)?),
             guarantee_patience: Span::from_secs(within.unwrap_or(10.0) / 2.0),
             cancel: Span::from_secs(positive("params.workers.cancel_s", workers.cancel_s)?),
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -4,7 +4,7 @@
 use crate::cloud::{self, Fleet, Overdue, RentOutcome};
 use crate::config::Config;
 use crate::ids::{GrantId, Incarnation, JobId, MachineId, Member, Revision, Span, Time, Token};
-use crate::leadership::Leadership;
+use crate::leadership::{Hearing, Leadership};
 use crate::peers::{End, Message};
 use crate::placement::{self, Scheduler};
 use crate::planning::{History, counter, plan_job};
@@ -79,6 +79,7 @@
     pub holder: Holder,
     pub scheduler: Scheduler,
     pub fleet: Fleet,
+    hearing: Hearing,
     overdue: Overdue,
     next_overdue: Time,
     history: History,
@@ -113,6 +114,7 @@
             holder: Holder::new(config, incarnation),
             scheduler: Scheduler::new(config),
             fleet: Fleet::new(config),
+            hearing: Hearing::new(config),
             overdue: Overdue::default(),
             next_overdue: zero,
             history: History::default(),
@@ -382,6 +384,7 @@
                 self.scheduler.on_ended(now, &ended, &self.replica);
                 self.dirty = true;
             }
+            Message::Strays(machines) => self.hearing.on_strays(now, machines),
             Message::Health(health) => {
                 let urgent = health.len() == 1;
                 for h in &health {
@@ -426,6 +429,10 @@
             Some(term) if now < self.assured => {
                 if overdue {
                     self.give_up_overdue(now, &mut effects);
+                    let health = self.scheduler.health.values().map(|h| &h.last);
+                    let blocks = self.config.blocks();
+                    self.hearing.judge(now, blocks, health, &self.replica);
+                    self.leadership.resting = self.hearing.resting();
                 }
                 self.lead(now, term, &mut effects);
             }
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -2,8 +2,10 @@
 //! records that go when their writer's grant goes.
 
 mod grants;
+mod hearing;
 
 pub use grants::keep_grant;
+pub use hearing::Hearing;
 
 use crate::config::Config;
 use crate::ids::{BlockId, GrantId, Incarnation, Member, Revision, Span, Time};
@@ -11,7 +13,7 @@
 use crate::store::replica::Replica;
 use crate::store::{TxnOutcome, keys};
 use crate::wire::state::Txn;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const RETRY: Span = Span(300);
 
@@ -24,6 +26,8 @@
     in_flight: bool,
     retry_at: Time,
     retry_revision: Revision,
+    /// Who is given no blocks, while there is somebody else.
+    pub resting: BTreeSet<Member>,
 }
 
 impl Leadership {
@@ -37,6 +41,7 @@
             in_flight: false,
             retry_at: Time::default(),
             retry_revision: Revision(0),
+            resting: BTreeSet::new(),
         }
     }
 
@@ -118,14 +123,16 @@
     /// Rewrites blocks that are of an earlier term, have lost their holder, or would be better
     /// held elsewhere. Holders that live keep what they hold.
     fn lease_blocks(&self, term: Revision, replica: &Replica) -> Option<Txn> {
-        let mut loads: BTreeMap<&Member, usize> = replica.members.keys().map(|m| (m, 0)).collect();
+        let rests = |m: &Member| self.resting.contains(m) && replica.members.len() > 1;
+        let able = replica.members.keys().filter(|m| !rests(m));
+        let mut loads: BTreeMap<&Member, usize> = able.map(|m| (m, 0)).collect();
         if loads.is_empty() {
             return None;
         }
         let holder = |b: &BlockId| -> Option<&Member> {
             let record = &replica.blocks.get(b)?.value;
             let (member, live) = replica.members.get_key_value(&record.holder)?;
-            (live.incarnation == record.incarnation).then_some(member)
+            (live.incarnation == record.incarnation && !rests(member)).then_some(member)
         };
         let all: Vec<BlockId> = (0..self.blocks).map(BlockId).collect();
         for member in all.iter().filter_map(holder) {
--- a/src/peers/messages.rs
+++ b/src/peers/messages.rs
@@ -48,6 +48,8 @@
     },
     /// Whether the sender is served by the state service.
     StoreUp(bool),
+    /// Any controller to the leader: machines that reported to it and that others hold.
+    Strays(Vec<MachineId>),
     /// Holder to leader: what it knows of its machines.
     Health(Vec<MachineHealth>),
 }
--- a/src/workers/holder.rs
+++ b/src/workers/holder.rs
@@ -115,6 +115,8 @@
     next_flush: Time,
     /// Something that nothing may hold back has ripened.
     urgent: bool,
+    /// Machines of others that reported here since the leader was told last.
+    strays: BTreeSet<MachineId>,
 }
 
 impl Holder {
@@ -140,6 +142,7 @@
             turned: None,
             next_flush: Time::default(),
             urgent: false,
+            strays: BTreeSet::new(),
         }
     }
 
@@ -184,6 +187,11 @@
             if !health.is_empty() {
                 out.push(Effect::ToLeader(Message::Health(health)));
             }
+            let strays = std::mem::take(&mut self.strays);
+            if !strays.is_empty() {
+                let strays = Message::Strays(strays.into_iter().collect());
+                out.push(Effect::ToLeader(strays));
+            }
         }
     }
 
@@ -300,6 +308,7 @@
         let block = report.machine.block(self.blocks);
         let Some(fence) = self.fence(replica, block) else {
             let holder = replica.blocks.get(&block).map(|b| b.value.holder.clone());
+            self.strays.insert(report.machine.clone());
             return CheckinAnswer::Elsewhere(holder.filter(|h| *h != self.me));
         };
         if report.token.fence() > fence {
