A term ends with its grant; a holder that alone misses machines is doubted

Terms now end with the grant they were claimed under; deletions wait where one holder misses far more of its machines than all others, counted when reports are overdue. Tests: leadership, cloud::fleet; sim plays controllers that stand still. Simulated machines.

--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -335,21 +335,27 @@
             }
         }
         let patience = self.patience(replica);
-        let mut by_holder: BTreeMap<&str, (usize, Vec<&MachineId>)> = BTreeMap::new();
+        let overdue = self.config.report + Span(self.config.report.0 / 4 + 500);
+        let mut by_holder: BTreeMap<&str, Quiet<'_>> = BTreeMap::new();
         for (id, health) in &scheduler.health {
             let lease = replica.blocks.get(&id.block(self.config.blocks()));
             let Some(lease) = lease.filter(|l| l.revision == health.last.fence) else {
                 continue;
             };
             let entry = by_holder.entry(lease.value.holder.as_str()).or_default();
-            entry.0 += 1;
+            entry.count += 1;
+            entry.overdue += usize::from(health.last.silent >= overdue);
             if health.last.silent >= patience && now.since(health.at) < Span(3000) {
-                entry.1.push(id);
+                entry.silent.push(id);
             }
         }
-        for (count, silent) in by_holder.into_values() {
-            // When most of a holder's machines are silent, it is the holder that hears nothing.
-            let doubtful = silent.len() > 1.max(count / 2);
+        let all = by_holder.values().fold((0, 0), |(count, overdue), q| {
+            (count + q.count, overdue + q.overdue)
+        });
+        for quiet in by_holder.into_values() {
+            let rest = (all.0 - quiet.count, all.1 - quiet.overdue);
+            let doubtful = quiet.is_doubtful(rest);
+            let silent = quiet.silent;
             // But most may really be gone: after a while they are given up all the same, or
             // their work would wait for ever (simulated seed 45).
             let given_up = silent.into_iter().filter(|id| {
@@ -688,6 +694,32 @@
     }
 }
 
+/// What a holder says of its machines.
+#[derive(Debug, Default)]
+struct Quiet<'a> {
+    count: usize,
+    /// A report of theirs should have come by now.
+    overdue: usize,
+    /// Silent for so long that they would be given up.
+    silent: Vec<&'a MachineId>,
+}
+
+impl Quiet<'_> {
+    /// Whether it is rather the holder that hears nothing: most of its machines are silent, or far
+    /// more than of all others, `rest`, though blocks are dealt out over zones and types alike. The
+    /// first of them are silent for long while the most have a moment left: what is overdue counts
+    /// (Tramite fleet, apart: a hundred healthy machines were deleted before it was clear).
+    fn is_doubtful(&self, rest: (usize, usize)) -> bool {
+        let most = self.silent.len() > 1.max(self.count / 2);
+        let (others, overdue) = rest;
+        // More than an eighth, and more than three times the others' part.
+        let far_more = 8 * self.overdue > self.count
+            && self.overdue > 3
+            && self.overdue * others > 3 * overdue * self.count;
+        most || (far_more && others > 0)
+    }
+}
+
 /// Arrays that may use the same machines rent together: calls are few, and each may bring many
 /// machines. They keep the place of the first of them.
 fn merged(shortages: Vec<Shortage>, replica: &Replica) -> Vec<Shortage> {
@@ -718,6 +750,21 @@
     use crate::store::records::{BlockRecord, MachineRecord};
     use crate::wire::state::Item;
 
+    #[test]
+    fn a_holder_that_alone_misses_many_machines_is_doubted_and_a_cut_off_zone_is_not() {
+        let id = MachineId::from("vm-1");
+        let quiet = |count, overdue, silent| Quiet {
+            count,
+            overdue,
+            silent: vec![&id; silent],
+        };
+        assert!(quiet(300, 90, 20).is_doubtful((600, 3)));
+        assert!(quiet(300, 200, 160).is_doubtful((600, 400)), "most of them");
+        assert!(!quiet(300, 90, 20).is_doubtful((600, 170)), "of all alike");
+        assert!(!quiet(300, 20, 20).is_doubtful((600, 2)), "a few");
+        assert!(!quiet(20, 3, 1).is_doubtful((40, 0)), "a small fleet");
+    }
+
     /// Found in an incident: while the state service was down, a machine that had gone silent
     /// was deleted at every turn, since its record could not be removed.
     #[test]
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -145,7 +145,7 @@
     }
 
     pub fn set_grant(&mut self, now: Time, grant: Option<GrantId>) -> Vec<Effect> {
-        self.leadership.set_grant(grant);
+        self.leadership.set_grant(grant, &self.replica);
         self.turn(now)
     }
 
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -26,6 +26,8 @@
     in_flight: bool,
     retry_at: Time,
     retry_revision: Revision,
+    /// The leader's record that was ours under a grant which has ended since.
+    lost: Revision,
     /// Who is given no blocks, while there is somebody else.
     pub resting: BTreeSet<Member>,
 }
@@ -41,6 +43,7 @@
             in_flight: false,
             retry_at: Time::default(),
             retry_revision: Revision(0),
+            lost: Revision(0),
             resting: BTreeSet::new(),
         }
     }
@@ -50,7 +53,15 @@
         self.incarnation
     }
 
-    pub fn set_grant(&mut self, grant: Option<GrantId>) {
+    /// A term ends with the grant it was claimed under. After a long stand the mirror still shows
+    /// it when the next grant is there already: a leader that went on then deleted a third of the
+    /// fleet, silent only to itself (Tramite fleet, apart).
+    pub fn set_grant(&mut self, grant: Option<GrantId>, replica: &Replica) {
+        if self.grant != grant
+            && let Some(term) = self.term(replica)
+        {
+            self.lost = term;
+        }
         self.grant = grant;
     }
 
@@ -60,7 +71,7 @@
     pub fn term(&self, replica: &Replica) -> Option<Revision> {
         let leader = replica.leader.as_ref()?;
         let mine = leader.value.member == self.me && leader.value.incarnation == self.incarnation;
-        mine.then_some(leader.revision)
+        (mine && leader.revision > self.lost).then_some(leader.revision)
     }
 
     /// The term, once every block was rewritten in it: then the mirror holds every placement
@@ -251,7 +262,7 @@
             leadership.drive(Time(0), &replica).is_none(),
             "no grant, no claim"
         );
-        leadership.set_grant(Some(GrantId(101)));
+        leadership.set_grant(Some(GrantId(101)), &replica);
         for (n, member) in ["c0", "c1", "c2"].into_iter().enumerate() {
             join(&mut replica, 2 + n as u64, member, 1 + n as u64);
         }
@@ -276,13 +287,17 @@
         holders.sort();
         assert_eq!(holders, ["c0", "c0", "c1", "c1", "c2", "c2"]);
         assert_eq!(leadership.settled_term(&replica), Some(Revision(10)));
+        // The grant is lost and another one taken, and the mirror is still behind.
+        leadership.set_grant(None, &replica);
+        leadership.set_grant(Some(GrantId(150)), &replica);
+        assert_eq!(leadership.settled_term(&replica), None);
     }
 
     #[test]
     fn a_restarted_holder_loses_its_blocks_and_others_keep_theirs() {
         let mut replica = Replica::new(&sample_config());
         let mut leadership = Leadership::new(&sample_config(), Incarnation(1));
-        leadership.set_grant(Some(GrantId(101)));
+        leadership.set_grant(Some(GrantId(101)), &replica);
         join(&mut replica, 2, "c0", 1);
         join(&mut replica, 3, "c1", 2);
         for at in [10, 11] {
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -110,6 +110,25 @@
     days_with("zone and crashes", 116..120, crashes);
 }
 
+/// Whatever was decided before, and whatever comes out of full buffers after: the term that was
+/// lost meanwhile (`leadership`) and machines silent only to one holder (`cloud::fleet`) have tests
+/// of their own.
+#[test]
+fn rules_hold_while_controllers_stand_still_and_go_on() {
+    let freezes = Trouble {
+        freezes: true,
+        ..Trouble::default()
+    };
+    days_with("freezes", 120..126, freezes);
+    let crowd = Trouble {
+        crowd: true,
+        machines: true,
+        crashes: true,
+        ..freezes
+    };
+    days_with("freezes and crowd", 126..130, crowd);
+}
+
 #[test]
 fn rules_hold_while_processes_are_back_at_once_in_mid_election() {
     let flaps = Trouble {
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -40,6 +40,8 @@
     pub flaps: bool,
     /// Users ask for more than their teams' limits all the time.
     pub crowd: bool,
+    /// A controller stands still for longer than every lease while its clocks run on.
+    pub freezes: bool,
     /// A zone is cut off from everything outside, with a controller in it.
     pub zone: bool,
     /// Requests that were carried out come once more, up to several leases later.
@@ -57,6 +59,7 @@
         apart: true,
         flaps: true,
         crowd: true,
+        freezes: true,
         zone: true,
         repeats: true,
     };
@@ -105,6 +108,23 @@
     Gangs,
 }
 
+impl What {
+    /// The controller that has to do something.
+    fn node(&self) -> Option<usize> {
+        match self {
+            Self::Tick(node)
+            | Self::Watch(node)
+            | Self::Extend(node)
+            | Self::TxnDone(node, ..)
+            | Self::CallDone(node, ..)
+            | Self::Peer(node, _)
+            | Self::Checkin(node, ..)
+            | Self::Copy(node, _) => Some(*node),
+            _ => None,
+        }
+    }
+}
+
 struct Entry(Time, u64, What);
 
 impl PartialEq for Entry {
@@ -134,6 +154,7 @@
     old_grant: Option<GrantId>,
     store_cut_until: Time,
     peers_cut_until: Time,
+    frozen_until: Time,
 }
 
 /// A large fleet: what the settings allow is then refused beyond its rates, and counted.
@@ -211,6 +232,7 @@
                 old_grant: None,
                 store_cut_until: Time(0),
                 peers_cut_until: Time(0),
+                frozen_until: Time(0),
             }
         });
         let mut world = Self {
@@ -292,6 +314,9 @@
     pub fn heal(&mut self) {
         self.healed = true;
         self.zone_cut_until = self.now;
+        for node in &mut self.nodes {
+            node.frozen_until = self.now;
+        }
         self.trouble = Trouble::default();
         for node in &mut self.nodes {
             node.store_cut_until = self.now;
@@ -361,6 +386,12 @@
     }
 
     fn happen(&mut self, what: What) {
+        // What comes to a controller that stands still is held for it.
+        let frozen = what.node().map(|n| self.nodes[n].frozen_until);
+        if let Some(until) = frozen.filter(|until| *until > self.now) {
+            self.after(until.since(self.now).0 + 1, what);
+            return;
+        }
         match what {
             What::Start(node) => self.start(node),
             What::Tick(node) => {
@@ -521,6 +552,8 @@
                 }
             } else if let Some(c) = &self.nodes[node].controller {
                 let incarnation = c.leadership.incarnation();
+                let (now, life) = (self.now, self.nodes[node].life);
+                self.with(node, life, |c| c.set_grant(now, None));
                 self.enter(node, incarnation);
             }
         }
@@ -908,6 +941,13 @@
                 self.with(node, life, |c| c.on_rent(now, &request, outcome));
             }
             Effect::Delete(ids) => {
+                // With standing controllers alone no machine is at fault.
+                let only = self.trouble.freezes && !self.trouble.machines && !self.trouble.crashes;
+                let busy = |w: &Worker| w.tasks.values().any(|t| t.state == TaskState::Running);
+                let healthy = |id: &&MachineId| self.workers.get(*id).is_some_and(busy);
+                if only && let Some(id) = ids.iter().find(healthy).cloned() {
+                    self.breaks("deleted_healthy", id);
+                }
                 if self.breakage != Breakage::DeletionsTakenOnTrust {
                     for id in &ids {
                         self.workers.remove(id);
@@ -1008,6 +1048,11 @@
             self.nodes[INSIDE].store_cut_until = until;
             self.nodes[INSIDE].peers_cut_until = until;
         }
+        if self.trouble.freezes && self.chance(30) {
+            let victim = self.pick(0, 2) as usize;
+            let ms = self.pick(4000, 2 * LEASE);
+            self.nodes[victim].frozen_until = Time(self.now.0 + ms);
+        }
         if self.trouble.deaf && self.chance(35) && !self.workers.is_empty() {
             let at = self.pick(0, self.workers.len() as u64 - 1) as usize;
             let until = Time(self.now.0 + self.pick(3000, 45_000));
