--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -259,9 +259,8 @@
     assert_eq!(stops[0].task.job, saving.id);
 }
 
-#[test]
-fn only_lower_work_and_work_beyond_a_guarantee_makes_room() {
-    // Blue borrows: 8 CPUs guaranteed to red, 16 to blue, 24 placed.
+/// Blue borrows: 8 CPUs guaranteed to red, 16 to blue, 24 placed.
+fn borrowing() -> Scene {
     let mut scene = Scene::new();
     let blue = scene.job(1, |s| {
         s.team = "blue".into();
@@ -273,6 +272,12 @@
             .collect();
         scene.machine(m, "a", false, &runs);
     }
+    scene
+}
+
+#[test]
+fn only_lower_work_and_work_beyond_a_guarantee_makes_room() {
+    let mut scene = borrowing();
     assert!(scene.drive().1.is_empty());
     let red = scene.job(2, |s| s.tasks = 1);
     assert!(scene.drive().1.is_empty(), "too late to be prompt");
@@ -285,17 +290,7 @@
     );
 
     // Where its image is not, a start could not be prompt anyway.
-    let mut scene = Scene::new();
-    let blue = scene.job(1, |s| {
-        s.team = "blue".into();
-        s.tasks = 12;
-    });
-    for m in 0..3 {
-        let runs: Vec<_> = (0..4)
-            .map(|i| (&blue, m * 4 + i, u64::from(m * 4 + i)))
-            .collect();
-        scene.machine(m, "a", false, &runs);
-    }
+    let mut scene = borrowing();
     scene.job(2, |s| {
         s.tasks = 1;
         s.image = "another".into();
--- a/src/sim/growth.rs
+++ b/src/sim/growth.rs
@@ -10,7 +10,6 @@
 use crate::wire::JobSpec;
 use crate::wire::state::Txn;
 use serde_json::json;
-use std::collections::BTreeMap;
 
 /// The part of the changes that each controller may use.
 const SHARE: f64 = 0.5;
@@ -109,20 +108,24 @@
     }
 }
 
-#[test]
-fn a_grown_fleet_costs_few_changes_for_each_task() {
-    let mut world = World::grown(7, (300, 900), 50.0, 920);
-    world.run(120_000);
-    let scale = world.scale.take().expect("scale");
-    let counts = &scale.counts;
-    let by: &BTreeMap<_, _> = &counts.by_owner;
+/// Plays a day of a fleet; tells what it cost, the tasks started and the changes by their owners.
+fn cost(mut world: World, until: u64) -> (Counts, u64) {
+    world.run(until);
+    let counts = world.scale.take().expect("scale").counts;
     println!(
         "{counts:?}, {} starts, {} jobs",
         world.starts,
         world.jobs.len()
     );
-    assert!(world.starts > 10_000, "{} starts", world.starts);
-    assert!(by["machines"] <= 4 * world.starts / 10, "{by:?}");
+    (counts, world.starts)
+}
+
+#[test]
+fn a_grown_fleet_costs_few_changes_for_each_task() {
+    let (counts, starts) = cost(World::grown(7, (300, 900), 50.0, 920), 120_000);
+    let by = &counts.by_owner;
+    assert!(starts > 10_000, "{starts} starts");
+    assert!(by["machines"] <= 4 * starts / 10, "{by:?}");
     // A batch a second, not a plan for each job.
     assert!(by["plans"] <= 120, "{by:?}");
     // A refusal is not followed by the same again at once: it once went round and round.
@@ -133,33 +136,17 @@
 /// nothing is looked at again and again.
 #[test]
 fn an_overloaded_fleet_still_places_many_tasks_with_each_change() {
-    let mut world = World::grown(8, (120, 120), 50.0, 300);
-    world.run(90_000);
-    let scale = world.scale.take().expect("scale");
-    let counts = &scale.counts;
-    let by: &BTreeMap<_, _> = &counts.by_owner;
-    println!(
-        "{counts:?}, {} starts, {} jobs",
-        world.starts,
-        world.jobs.len()
-    );
-    assert!(world.starts > 10_000, "{} starts", world.starts);
-    assert!(by["machines"] <= 2 * world.starts / 10, "{by:?}");
+    let (counts, starts) = cost(World::grown(8, (120, 120), 50.0, 300), 90_000);
+    let by = &counts.by_owner;
+    assert!(starts > 10_000, "{starts} starts");
+    assert!(by["machines"] <= 2 * starts / 10, "{by:?}");
 }
 
 /// Half as many machines again as the largest deployment so far.
 #[test]
 fn a_fleet_of_1800_costs_few_changes_for_each_task() {
-    let mut world = World::grown(9, (1200, 1800), 70.0, 500);
-    world.run(60_000);
-    let scale = world.scale.take().expect("scale");
-    let counts = &scale.counts;
-    let by: &BTreeMap<_, _> = &counts.by_owner;
-    println!(
-        "{counts:?}, {} starts, {} jobs",
-        world.starts,
-        world.jobs.len()
-    );
-    assert!(world.starts > 8_000, "{} starts", world.starts);
-    assert!(by["machines"] <= 4 * world.starts / 10, "{by:?}");
+    let (counts, starts) = cost(World::grown(9, (1200, 1800), 70.0, 500), 60_000);
+    let by = &counts.by_owner;
+    assert!(starts > 8_000, "{starts} starts");
+    assert!(by["machines"] <= 4 * starts / 10, "{by:?}");
 }
