A cancellation is told only once everybody who could keep its tasks alive knows

After the record is written every controller is told over the links, and acts at once, without the state service; the user hears of it when all have answered, or the leader and every holder of a block with the job in it whose machines have seen that holder's token. Until then: 503 with Retry-After, for repeats and polls too. Holders delete silent machines with cancelled work themselves, at half of the time, when nobody leads for certain.

The simulated controllers now have the right peers, and start only once the state service serves them.

--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -315,6 +315,11 @@
             .max(self.config.report + Span(self.config.report.0 / 4 + 2500))
     }
 
+    /// The cloud has answered its deletion.
+    pub fn is_deleted(&self, id: &MachineId) -> bool {
+        self.deleted.contains_key(id)
+    }
+
     /// These machines are deleted, whatever else is thought of them.
     pub fn give_up(&mut self, now: Time, machines: Vec<MachineId>) {
         for id in machines {
--- a/src/cloud/overdue.rs
+++ b/src/cloud/overdue.rs
@@ -5,14 +5,14 @@
 //! That a job is gone from the mirror does not say how it ended, and most end done; deleting
 //! machines for those would throw away healthy work. So the state service is asked first.
 
-use crate::ids::{JobId, MachineId, Span, Time};
-use crate::placement::Scheduler;
+use crate::ids::{JobId, MachineId, Run, Span, Time};
 use crate::store::replica::Replica;
 use crate::wire::JobState;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The part of the time for a cancellation that is kept for asking and deleting.
-const RESERVE: u64 = 4;
+/// The part of the time for a cancellation that is kept for asking and deleting: the cloud may be
+/// out, and a deletion be refused and asked again.
+const RESERVE: u64 = 2;
 /// A question without an answer is asked again after this.
 const ASK_AGAIN: Span = Span(2000);
 
@@ -64,26 +64,38 @@
         }
     }
 
+    /// A job was cancelled so long ago: known for certain, with no need to ask.
+    pub fn cancelled(&mut self, now: Time, job: &JobId, age: Span) {
+        let at = Time(now.0.saturating_sub(age.0));
+        let ended = self.ended.entry(job.clone()).or_insert(Ended {
+            since: None,
+            asked: None,
+            state: None,
+        });
+        ended.since = Some(ended.since.map_or(at, |s| s.min(at)));
+        ended.state = Some(JobState::Cancelled);
+    }
+
     pub fn learn(&mut self, job: &JobId, state: JobState) {
         if let Some(ended) = self.ended.get_mut(job) {
             ended.state = Some(state);
         }
     }
 
-    /// The machines on which a cancelled job's time runs out, out of those that have been silent
-    /// for so long that no command can be hoped to arrive.
+    /// The machines on which a cancelled job's time runs out, out of those that have been `silent`
+    /// for so long that no command can be hoped to arrive, without the tasks that are `freed`.
     pub fn due(
         &mut self,
         now: Time,
         cancel: Span,
-        patience: Span,
         replica: &Replica,
-        scheduler: &Scheduler,
+        silent: impl Fn(&MachineId) -> bool,
+        freed: impl Fn(&Run) -> bool,
     ) -> Due {
         let mut due = Due::default();
         let limit = Span(cancel.0 - cancel.0 / RESERVE);
         for (id, machine) in &replica.machines {
-            if self.ended.is_empty() || !scheduler.is_silent(now, id, patience, replica) {
+            if self.ended.is_empty() || !silent(id) {
                 continue;
             }
             for (run, _) in machine.record.runs() {
@@ -91,7 +103,7 @@
                     continue;
                 };
                 let early = ended.since.is_some_and(|at| now.since(at) < limit);
-                if early || scheduler.is_freed(&run) {
+                if early || freed(&run) {
                     continue;
                 }
                 match ended.state {
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1,9 +1,12 @@
 //! All decisions of one controller: the slices put together, still without I/O, clock or
 //! randomness of its own. The daemon carries out the effects; tests do so in simulated time.
 
+use crate::cancellation::{RoundId, Rounds, View};
 use crate::cloud::{self, Fleet, Overdue, RentOutcome};
 use crate::config::Config;
-use crate::ids::{GrantId, Incarnation, JobId, MachineId, Member, Revision, Span, Time, Token};
+use crate::ids::{
+    GrantId, Incarnation, JobId, MachineId, Member, Revision, Run, Span, Time, Token,
+};
 use crate::leadership::{Hearing, Leadership};
 use crate::peers::{End, Message};
 use crate::placement::{self, Scheduler};
@@ -11,7 +14,7 @@
 use crate::store::TxnOutcome;
 use crate::store::keys;
 use crate::store::records::{PlanBatch, PlanRecord};
-use crate::store::replica::Replica;
+use crate::store::replica::{LiveMachine, Replica};
 use crate::store::tokens::Class;
 use crate::wire::state::{Event, Txn};
 use crate::wire::{Catalog, JobState, ListedMachine, Order, RentRequest, Report};
@@ -62,6 +65,8 @@
 const HISTORY_EVERY: Span = Span(5000);
 const CLEAN_EVERY: Span = Span(2000);
 const OVERDUE_EVERY: Span = Span(1000);
+/// A holder's own deletion that was not carried out is asked for again after this.
+const GIVE_UP_AGAIN: Span = Span(3000);
 /// Plans gather for so long, or until a record is half full, to be written in one change.
 const PLANS_GATHER: Span = Span(1000);
 /// Counters that are brought up to date at once.
@@ -82,6 +87,9 @@
     hearing: Hearing,
     overdue: Overdue,
     next_overdue: Time,
+    /// Machines whose deletion was asked for without leading, and when.
+    giving_up: BTreeMap<MachineId, Time>,
+    rounds: Rounds,
     history: History,
     /// Plans that are made and not yet written.
     plans: BTreeMap<JobId, PlanRecord>,
@@ -117,6 +125,8 @@
             hearing: Hearing::new(config),
             overdue: Overdue::default(),
             next_overdue: zero,
+            giving_up: BTreeMap::new(),
+            rounds: Rounds::default(),
             history: History::default(),
             plans: BTreeMap::new(),
             plans_in_flight: false,
@@ -150,7 +160,8 @@
     }
 
     /// A mirror read anew takes the old one's place.
-    pub fn on_snapshot(&mut self, now: Time, replica: Replica) -> Vec<Effect> {
+    pub fn on_snapshot(&mut self, now: Time, mut replica: Replica) -> Vec<Effect> {
+        replica.keep_cancelled(&self.replica);
         self.replica = replica;
         self.holder.look_again();
         self.dirty = true;
@@ -229,13 +240,105 @@
         self.finish(now, out)
     }
 
-    pub fn on_peer(&mut self, now: Time, message: Message) -> Vec<Effect> {
+    pub fn on_peer(&mut self, now: Time, from: &Member, message: Message) -> Vec<Effect> {
         let mut effects = Vec::new();
-        self.deliver(now, message, &mut effects);
+        match message {
+            Message::Cancelled {
+                round,
+                job,
+                revision,
+                age,
+            } => {
+                self.learn_cancelled(now, &job, revision, age, &mut effects);
+                let settled = self.holder.settled(&job, &self.replica);
+                let known = Message::CancelledKnown {
+                    round,
+                    job,
+                    settled,
+                };
+                effects.push(Effect::Peer(from.clone(), known));
+            }
+            Message::CancelledKnown {
+                round,
+                job,
+                settled,
+            } => self.rounds.on_known(round, &job, from, settled),
+            message => self.deliver(now, message, &mut effects),
+        }
         effects.extend(self.turn(now));
         effects
     }
 
+    /// Tells everybody of a cancellation that is committed; [`Self::is_known`] says when its user
+    /// may hear of it.
+    pub fn announce(
+        &mut self,
+        now: Time,
+        job: &JobId,
+        revision: Revision,
+        age: Span,
+    ) -> (RoundId, Vec<Effect>) {
+        let mut effects = Vec::new();
+        self.learn_cancelled(now, job, revision, age, &mut effects);
+        let round = self.rounds.open(job, revision);
+        for peer in self.config.peers.keys() {
+            let message = Message::Cancelled {
+                round,
+                job: job.clone(),
+                revision,
+                age,
+            };
+            effects.push(Effect::Peer(peer.clone(), message));
+        }
+        effects.extend(self.turn(now));
+        (round, effects)
+    }
+
+    pub fn is_known(&mut self, round: RoundId) -> bool {
+        let Some(job) = self.rounds.job(round).cloned() else {
+            return false;
+        };
+        let me = &self.config.member;
+        let settled = self.holder.settled(&job, &self.replica);
+        self.rounds.on_known(round, &job, me, settled);
+        let stands = |m: &LiveMachine| m.record.jobs.iter().any(|g| g.job == job);
+        let machines = self.replica.machines.iter();
+        let carriers = machines.filter(|(_, m)| stands(m)).map(|(id, _)| {
+            let block = id.block(self.config.blocks());
+            let lease = self.replica.blocks.get(&block);
+            (block, lease.map(|l| l.revision))
+        });
+        let view = View {
+            revision: self.replica.revision,
+            leader: self.replica.leader.as_ref().map(|l| l.value.member.clone()),
+            carriers: carriers.collect(),
+        };
+        let all = self.config.peers.keys().chain([me]).cloned().collect();
+        self.rounds.is_known(round, &all, &view)
+    }
+
+    pub fn close_round(&mut self, round: RoundId) {
+        self.rounds.close(round);
+    }
+
+    /// Acts on a cancellation as the stream would: its tasks are stopped and none is started.
+    fn learn_cancelled(
+        &mut self,
+        now: Time,
+        job: &JobId,
+        revision: Revision,
+        age: Span,
+        effects: &mut Vec<Effect>,
+    ) {
+        let carriers = self.replica.cancel(job, revision);
+        self.overdue.cancelled(now, job, age);
+        let mut out = Vec::new();
+        self.holder
+            .on_changed(now, &carriers, &self.replica, &mut out);
+        self.holder_effects(now, out, effects);
+        self.dirty = true;
+    }
+
     pub fn on_catalog(&mut self, now: Time, catalog: Option<Catalog>) -> Vec<Effect> {
         self.fleet.on_catalog(now, catalog);
         self.turn(now)
@@ -395,11 +498,13 @@
                 self.scheduler.on_health(now, health, &self.replica);
                 self.dirty |= urgent;
             }
-            // The daemon deals with these before they get here.
+            // Dealt with before they get here.
             Message::Hello { .. }
             | Message::StoreUp(_)
             | Message::Ask { .. }
-            | Message::Reply { .. } => {}
+            | Message::Reply { .. }
+            | Message::Cancelled { .. }
+            | Message::CancelledKnown { .. } => {}
         }
         self.holder_effects(now, out, effects);
     }
@@ -437,8 +542,9 @@
                 self.lead(now, term, &mut effects);
             }
             // Perhaps somebody else leads by now.
-            Some(_) => {}
+            Some(_) => self.give_up_own(now, overdue, &mut effects),
             None => {
+                self.give_up_own(now, overdue, &mut effects);
                 self.plans.clear();
                 self.releasing.clear();
                 self.history.clear();
@@ -515,13 +621,11 @@
     /// Gives up machines on which a cancelled job's tasks could not be stopped in time.
     fn give_up_overdue(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let patience = self.fleet.patience(&self.replica);
-        let due = self.overdue.due(
-            now,
-            self.config.cancel,
-            patience,
-            &self.replica,
-            &self.scheduler,
-        );
+        let silent = |id: &MachineId| self.scheduler.is_silent(now, id, patience, &self.replica);
+        let freed = |run: &Run| self.scheduler.is_freed(run);
+        let due = self
+            .overdue
+            .due(now, self.config.cancel, &self.replica, silent, freed);
         effects.extend(due.ask.into_iter().map(Effect::Standing));
         if !due.give_up.is_empty() {
             tracing::info!(machines = ?due.give_up, "cancelled work can't be stopped there");
@@ -530,6 +634,32 @@
         }
     }
 
+    /// The same by a holder that does not lead, or does not know that it still does: a deletion
+    /// needs the cloud and no fence. In an outage of the state service nobody leads for certain.
+    fn give_up_own(&mut self, now: Time, due: bool, effects: &mut Vec<Effect>) {
+        if !due {
+            return;
+        }
+        let patience = self.fleet.patience(&self.replica);
+        let holder = &self.holder;
+        let silent = |id: &MachineId| holder.silent(now, id).is_some_and(|s| s >= patience);
+        let freed = |run: &Run| holder.is_gone(run);
+        let due = self
+            .overdue
+            .due(now, self.config.cancel, &self.replica, silent, freed);
+        self.giving_up
+            .retain(|_, at| now.since(*at) < GIVE_UP_AGAIN);
+        let (asked, fleet) = (&self.giving_up, &self.fleet);
+        let new = |id: &MachineId| !asked.contains_key(id) && !fleet.is_deleted(id);
+        let ids: Vec<MachineId> = due.give_up.into_iter().filter(new).collect();
+        if !ids.is_empty() {
+            tracing::info!(machines = ?ids, "cancelled work can't be stopped on machines held here");
+            self.giving_up
+                .extend(ids.iter().map(|id| (id.clone(), now)));
+            effects.push(Effect::Delete(ids));
+        }
+    }
+
     /// Plans what was accepted. The plan serves at once; its record follows.
     fn plan(&mut self, now: Time) {
         let new: Vec<JobId> = self
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! The process: sockets, routines and clocks around the decisions.
 
+mod cancellations;
 mod cloud_calls;
 mod forward;
 mod routes;
@@ -11,7 +12,7 @@
 use crate::intake::Intake;
 use crate::leadership::keep_grant;
 use crate::peers::{Links, Message, listen};
-use crate::runtime::{self, Scope, TcpListener};
+use crate::runtime::{self, Scope, TcpListener, channel};
 use crate::store::replica::Replica;
 use crate::store::{Store, StoreError, keys};
 use crate::wire::state::Txn;
@@ -74,9 +75,10 @@
         started,
     ));
     let controller = Rc::new(RefCell::new(Controller::new(&config, incarnation)));
+    let (cancellations, told) = channel();
     let links = Links::start(&config.member, incarnation, &config.peers, &mut scope);
     let node = Rc::new(Node {
-        intake: Intake::new(&config, store.clone(), controller.clone()),
+        intake: Intake::new(&config, store.clone(), controller.clone(), cancellations),
         cloud: CloudCalls::new(config.cloud_addr, config.cloud_rps, started),
         workers: Client::new(REPORT_LIMIT, config.sockets / 5),
         loaded: Cell::new(false),
@@ -95,6 +97,7 @@
     scope.spawn(mirror(node.clone()));
     scope.spawn(ticker(node.clone()));
     scope.spawn(teller(node.clone()));
+    scope.spawn(cancellations::tell(node.clone(), told));
     let heard = node.clone();
     scope.spawn(listen(
         peer,
@@ -268,7 +271,10 @@
             }
             other => other,
         };
-        let effects = self.controller.borrow_mut().on_peer(self.now(), message);
+        let effects = self
+            .controller
+            .borrow_mut()
+            .on_peer(self.now(), from, message);
         self.carry_out(effects);
     }
 
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -4,4 +4,4 @@
 mod service;
 mod verify;
 
-pub use service::Intake;
+pub use service::{Cancellation, Intake};
--- a/src/intake/over.rs
+++ b/src/intake/over.rs
@@ -1,25 +1,34 @@
 //! Final states that were read once: they never change, so they may be remembered.
 
-use crate::ids::JobId;
+use crate::ids::{JobId, Revision};
 use crate::store::records::OverRecord;
 use std::collections::{BTreeMap, VecDeque};
 
 /// A few MB at most.
 const LIMIT: usize = 20_000;
 
+/// How a job ended, and whether its user may be told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Over {
+    pub record: OverRecord,
+    pub revision: Revision,
+    /// Everybody knows who could keep its tasks alive; always so for jobs that are done.
+    pub known: bool,
+}
+
 #[derive(Default)]
 pub struct OverCache {
-    known: BTreeMap<JobId, OverRecord>,
+    known: BTreeMap<JobId, Over>,
     order: VecDeque<JobId>,
 }
 
 impl OverCache {
-    pub fn get(&self, id: &JobId) -> Option<OverRecord> {
+    pub fn get(&self, id: &JobId) -> Option<Over> {
         self.known.get(id).copied()
     }
 
-    pub fn put(&mut self, id: &JobId, record: OverRecord) {
-        if self.known.insert(id.clone(), record).is_none() {
+    pub fn put(&mut self, id: &JobId, over: Over) {
+        if self.known.insert(id.clone(), over).is_none() {
             self.order.push_back(id.clone());
         }
         if self.order.len() > LIMIT
@@ -31,28 +40,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::wire::JobState;
-
-    #[test]
-    fn the_cache_is_bounded_and_keeps_the_latest() {
-        let mut cache = OverCache::default();
-        let record = OverRecord {
-            state: JobState::Done,
-            tasks: 1,
-        };
-        for n in 0..LIMIT + 10 {
-            let id = JobId::from(format!("job-{n}").as_str());
-            cache.put(&id, record);
-            cache.put(&id, record);
-        }
-        assert_eq!((cache.known.len(), cache.order.len()), (LIMIT, LIMIT));
-        assert!(cache.get(&"job-0".into()).is_none());
-        assert!(
-            cache
-                .get(&format!("job-{}", LIMIT + 9).as_str().into())
-                .is_some()
-        );
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/intake/over/tests.rs
@@ -0,0 +1,27 @@
+use super::*;
+use crate::wire::JobState;
+
+#[test]
+fn the_cache_is_bounded_and_keeps_the_latest() {
+    let mut cache = OverCache::default();
+    let record = Over {
+        record: OverRecord {
+            state: JobState::Done,
+            tasks: 1,
+        },
+        revision: Revision(1),
+        known: true,
+    };
+    for n in 0..LIMIT + 10 {
+        let id = JobId::from(format!("job-{n}").as_str());
+        cache.put(&id, record);
+        cache.put(&id, record);
+    }
+    assert_eq!((cache.known.len(), cache.order.len()), (LIMIT, LIMIT));
+    assert!(cache.get(&"job-0".into()).is_none());
+    assert!(
+        cache
+            .get(&format!("job-{}", LIMIT + 9).as_str().into())
+            .is_some()
+    );
+}
--- a/src/intake/service.rs
+++ b/src/intake/service.rs
@@ -1,11 +1,12 @@
 //! Submissions, polls and withdrawals, each decided by the state service.
 
-use super::over::OverCache;
+use super::over::{Over, OverCache};
 use super::verify::{Verdict, Verifier};
 use crate::config::Config;
 use crate::controller::Controller;
 use crate::http::Response;
 use crate::ids::{JobId, Revision, Wall};
+use crate::runtime::{Sender, oneshot};
 use crate::store::records::{JobRecord, OverRecord};
 use crate::store::tokens::Class;
 use crate::store::{Store, StoreError, TxnOutcome, keys};
@@ -13,6 +14,7 @@
 use crate::wire::{Catalog, JobSpec, JobState, JobStatus, Kind, valid_job_id};
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Instant;
 
 /// Short, since what stands in the way is mostly over in a second or two.
 const COME_BACK: u32 = 1;
@@ -23,12 +25,23 @@
     controller: Rc<RefCell<Controller>>,
     verifier: Verifier,
     over: RefCell<OverCache>,
+    cancellations: Sender<Cancellation>,
+}
+
+/// A cancellation that is committed and has to be known before its user is told.
+pub struct Cancellation {
+    pub job: JobId,
+    pub revision: Revision,
+    /// When its transaction was sent, if by this controller.
+    pub since: Option<Instant>,
+    /// Whether everybody knows who has to.
+    pub known: Sender<bool>,
 }
 
 /// Where a job stands, as checked against the state service.
 enum Found {
     Live,
-    Over(OverRecord),
+    Over(Over),
     Never,
     Unknown,
 }
@@ -81,7 +94,13 @@
 }
 
 impl Intake {
-    pub fn new(config: &Config, store: Rc<Store>, controller: Rc<RefCell<Controller>>) -> Self {
+    /// `cancellations`: what is to be told to the other controllers, and answered.
+    pub fn new(
+        config: &Config,
+        store: Rc<Store>,
+        controller: Rc<RefCell<Controller>>,
+        cancellations: Sender<Cancellation>,
+    ) -> Self {
         let verifier = Verifier::start(store.clone(), 4 * config.txn_ops);
         Self {
             config: config.clone(),
@@ -89,6 +108,7 @@
             controller,
             verifier,
             over: RefCell::default(),
+            cancellations,
         }
     }
 
@@ -145,8 +165,8 @@
     }
 
     async fn poll_known(&self, id: &JobId) -> Response {
-        if let Some(record) = self.over.borrow().get(id) {
-            return final_status(id, record);
+        if let Some(over) = self.cached(id) {
+            return self.final_status(id, over, None).await;
         }
         if !self.store.is_up() {
             return later("the state service can't be reached");
@@ -164,7 +184,7 @@
         }
         match self.find(id).await {
             Found::Live => self.live_status(id),
-            Found::Over(record) => final_status(id, record),
+            Found::Over(over) => self.final_status(id, over, None).await,
             Found::Never => Response::error(404, "no such job"),
             Found::Unknown => later("the state service can't be reached"),
         }
@@ -193,28 +213,66 @@
             Err(_) => return Found::Unknown,
         }
         match self.read_over(id).await {
-            Ok(Some(record)) => Found::Over(record),
+            Ok(Some(over)) => Found::Over(over),
             Ok(None) => Found::Never,
             Err(_) => Found::Unknown,
         }
     }
 
-    async fn read_over(&self, id: &JobId) -> Result<Option<OverRecord>, StoreError> {
+    fn cached(&self, id: &JobId) -> Option<Over> {
+        self.over.borrow().get(id)
+    }
+
+    /// The final answer: for a cancelled job not before everybody knows who could keep its tasks
+    /// alive, whoever is asked and however often. It waits for their answers, not for the user's
+    /// patience: without them the answer is to come back.
+    async fn final_status(&self, id: &JobId, over: Over, since: Option<Instant>) -> Response {
+        if !over.known {
+            let (known, result) = oneshot();
+            self.cancellations.send(Cancellation {
+                job: id.clone(),
+                revision: over.revision,
+                since,
+                known,
+            });
+            if result.get().await != Some(true) {
+                return later("the cancellation is not known to all controllers yet");
+            }
+            self.over.borrow_mut().put(
+                id,
+                Over {
+                    known: true,
+                    ..over
+                },
+            );
+        }
+        final_status(id, over.record)
+    }
+
+    async fn read_over(&self, id: &JobId) -> Result<Option<Over>, StoreError> {
         let Some(item) = self.store.get(Class::Poll, &keys::over(id)).await? else {
             return Ok(None);
         };
         let record: OverRecord =
             serde_json::from_value(item.value).map_err(|_| StoreError::Unavailable)?;
-        self.over.borrow_mut().put(id, record);
-        Ok(Some(record))
+        Ok(Some(self.keep(id, record, item.revision)))
+    }
+
+    fn keep(&self, id: &JobId, record: OverRecord, revision: Revision) -> Over {
+        let over = Over {
+            record,
+            revision,
+            known: record.state != JobState::Cancelled,
+        };
+        self.over.borrow_mut().put(id, over);
+        over
     }
 
     /// How a job that is over has ended, if that can be read now.
     pub async fn standing(&self, id: &JobId) -> Option<JobState> {
-        let known = self.over.borrow().get(id).map(|r| r.state);
-        match known {
-            Some(state) => Some(state),
-            None => Some(self.read_over(id).await.ok()??.state),
+        match self.cached(id) {
+            Some(over) => Some(over.record.state),
+            None => Some(self.read_over(id).await.ok()??.record.state),
         }
     }
 
@@ -223,8 +281,8 @@
             return Response::error(404, "no such job");
         }
         let id = JobId::from(id);
-        if let Some(record) = self.over.borrow().get(&id) {
-            return final_status(&id, record);
+        if let Some(over) = self.cached(&id) {
+            return self.final_status(&id, over, None).await;
         }
         if !self.store.is_up() {
             return later("the state service can't be reached");
@@ -235,7 +293,7 @@
         };
         let Some(item) = item else {
             return match self.read_over(&id).await {
-                Ok(Some(record)) => final_status(&id, record),
+                Ok(Some(over)) => self.final_status(&id, over, None).await,
                 Ok(None) => Response::error(404, "no such job"),
                 Err(_) => later("the state service can't be reached"),
             };
@@ -249,10 +307,11 @@
         txn.require(keys::job(&id), item.revision);
         txn.put(keys::over(&id), &record, None);
         txn.delete(keys::job(&id));
+        let since = Instant::now();
         match self.store.txn(Class::Accept, &txn).await {
-            TxnOutcome::Committed(_) => {
-                self.over.borrow_mut().put(&id, record);
-                final_status(&id, record)
+            TxnOutcome::Committed(revision) => {
+                let over = self.keep(&id, record, revision);
+                self.final_status(&id, over, Some(since)).await
             }
             // Done or cancelled in between, or it was never there: the repeat will tell.
             _ => later("the state service did not take it"),
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! laurellanding: a cluster scheduler.
 
 mod admin;
+mod cancellation;
 mod cloud;
 mod config;
 mod controller;
--- a/src/peers/frame.rs
+++ b/src/peers/frame.rs
@@ -4,7 +4,7 @@
 use super::Message;
 
 /// Messages change with the program; controllers of other versions are not spoken to.
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 pub const FRAME_LIMIT: usize = 1024 * 1024;
 const HEAD: usize = 5;
 
--- a/src/peers/messages.rs
+++ b/src/peers/messages.rs
@@ -1,5 +1,6 @@
 //! What controllers say to one another.
 
+use crate::cancellation::RoundId;
 use crate::ids::{
     Attempt, BlockId, Incarnation, JobId, MachineId, Member, Pipeline, Revision, Run, Span,
     TypeName,
@@ -34,6 +35,21 @@
         run: Run,
         grace: Span,
     },
+    /// Any controller to any: this job was cancelled by that change, so long ago. It may be
+    /// believed without asking the state service, since it is final.
+    Cancelled {
+        round: RoundId,
+        job: JobId,
+        revision: Revision,
+        age: Span,
+    },
+    /// The sender knows of a cancellation. In these blocks that it holds nobody who held them
+    /// before can keep the job's tasks alive.
+    CancelledKnown {
+        round: RoundId,
+        job: JobId,
+        settled: Vec<(BlockId, Revision)>,
+    },
     /// A user's request that the sender can't decide: the state service does not serve it.
     Ask {
         id: u64,
--- /dev/null
+++ b/src/sim/cancel.rs
@@ -0,0 +1,199 @@
+//! Users who cancel, through one controller and then another, and the state service that refuses
+//! the leader alone just then.
+
+use super::world::{Breakage, CANCEL, What, World};
+use crate::cancellation::RoundId;
+use crate::ids::{JobId, Revision, Span, Time};
+use crate::store::records::{LeaderRecord, OverRecord};
+use crate::store::{TxnOutcome, keys};
+use crate::wire::state::Txn;
+use crate::wire::{JobState, TaskState};
+
+/// How long a controller waits until everybody knows, and how often it looks.
+const PATIENCE: u64 = 900;
+const LOOK: u64 = 15;
+/// Users repeat what was not answered.
+const AGAIN: u64 = 1000;
+
+impl World {
+    pub fn cancel(&mut self, id: &JobId) {
+        if self.cancelling.insert(id.clone()) {
+            self.ask_cancellation(id.clone());
+        }
+    }
+
+    /// What the intake does with one request.
+    pub fn ask_cancellation(&mut self, job: JobId) {
+        let now = self.now;
+        let able = |n: &usize| {
+            let node = &self.nodes[*n];
+            let served = node.store_cut_until <= now || node.over.contains(&job);
+            node.controller.is_some() && node.frozen_until <= now && served
+        };
+        let able: Vec<usize> = (0..self.nodes.len()).filter(able).collect();
+        if able.is_empty() {
+            self.after(AGAIN, What::Cancel(job));
+            return;
+        }
+        let node = able[self.pick(0, able.len() as u64 - 1) as usize];
+        let Some(revision) = self.commit_cancellation(&job) else {
+            self.cancelling.remove(&job);
+            return;
+        };
+        self.nodes[node].over.insert(job.clone());
+        if self.breakage == Breakage::ToldAtOnce {
+            self.confirm(&job);
+            return;
+        }
+        let life = self.nodes[node].life;
+        let Some(controller) = self.nodes[node].controller.as_mut() else {
+            return;
+        };
+        let (round, effects) = controller.announce(now, &job, revision, Span(0));
+        self.carry_out(node, effects);
+        let until = Time(now.0 + PATIENCE);
+        self.tell_cancelled(node, life, job, round, until);
+    }
+
+    /// The change that cancelled the job, now or before. `None`: it is done, or unknown.
+    fn commit_cancellation(&mut self, job: &JobId) -> Option<Revision> {
+        if let Some((value, revision, _)) = self.store.keys.get(&keys::over(job)) {
+            let record: OverRecord = serde_json::from_value(value.clone()).expect("record");
+            return (record.state == JobState::Cancelled).then_some(*revision);
+        }
+        let revision = self.store.keys.get(&keys::job(job))?.1;
+        let mut txn = Txn::default();
+        txn.require(keys::job(job), revision);
+        let record = OverRecord {
+            state: JobState::Cancelled,
+            tasks: self.jobs[job].tasks,
+        };
+        txn.put(keys::over(job), &record, None);
+        txn.delete(keys::job(job));
+        // The meeting takes place where the controller that the state service refuses holds a
+        // machine with the job on it.
+        if self
+            .refused_alone()
+            .is_some_and(|node| self.holds(node, job))
+        {
+            self.met += 1;
+        }
+        let outcome = self.ask(txn);
+        self.check_over();
+        match outcome {
+            TxnOutcome::Committed(revision) => Some(revision),
+            _ => None,
+        }
+    }
+
+    pub fn tell_cancelled(
+        &mut self,
+        node: usize,
+        life: u64,
+        job: JobId,
+        round: RoundId,
+        until: Time,
+    ) {
+        let asked = &mut self.nodes[node];
+        let controller = asked.controller.as_mut().filter(|_| asked.life == life);
+        let Some(controller) = controller else {
+            self.after(AGAIN, What::Cancel(job));
+            return;
+        };
+        if controller.is_known(round) {
+            controller.close_round(round);
+            self.confirm(&job);
+        } else if self.now < until {
+            self.after(LOOK, What::Told(node, life, job, round, until));
+        } else {
+            controller.close_round(round);
+            self.after(AGAIN, What::Cancel(job));
+        }
+    }
+
+    fn confirm(&mut self, job: &JobId) {
+        self.cancelling.remove(job);
+        self.cancelled.entry(job.clone()).or_insert(self.now);
+    }
+
+    fn refused_alone(&self) -> Option<usize> {
+        let refused = |n: &usize| self.nodes[*n].store_cut_until > self.now;
+        let refused: Vec<usize> = (0..self.nodes.len()).filter(refused).collect();
+        match refused[..] {
+            [node] => Some(node),
+            _ => None,
+        }
+    }
+
+    /// Whether a task of the job is on a machine that reports to this controller.
+    fn holds(&self, node: usize, job: &JobId) -> bool {
+        let mut workers = self.workers.values().filter(|w| !w.dead && w.node == node);
+        workers.any(|w| {
+            let mut tasks = w.tasks.iter();
+            tasks.any(|(run, t)| run.task.job == *job && t.state != TaskState::Exited)
+        })
+    }
+
+    /// The state service refuses the leader; users cancel what runs; a moment later it is out for
+    /// everybody, before the leader's grant has run out. Now and then a controller ends as well,
+    /// the links are cut, or machines hang.
+    pub fn begin_gap(&mut self) {
+        let leader = self.store.keys.get(keys::LEADER).and_then(|(value, ..)| {
+            let record: LeaderRecord = serde_json::from_value(value.clone()).ok()?;
+            let mut members = super::world::MEMBERS.iter();
+            members.position(|m| *m == record.member.as_str())
+        });
+        let Some(leader) = leader else { return };
+        let gap = self.pick(300, 4000);
+        let outage = self.pick(CANCEL, 2 * CANCEL);
+        self.nodes[leader].store_cut_until = Time(self.now.0 + gap);
+        let before = self.pick(50, gap);
+        self.after(before, What::CancelRunning);
+        self.after(gap, What::Outage(outage));
+        match self.pick(0, 5) {
+            0 => {
+                let until = Time(self.now.0 + self.pick(500, gap + outage));
+                self.nodes[leader].peers_cut_until = until;
+            }
+            1 => self.after(before + 100, What::Flap),
+            2 => {
+                let ms = self.pick(CANCEL, 2 * CANCEL);
+                let until = Time(self.now.0 + before + ms);
+                for worker in self.workers.values_mut().step_by(3) {
+                    worker.hang_until = until;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub fn begin_outage(&mut self, ms: u64) {
+        let until = Time(self.now.0 + ms);
+        self.outage_until = until;
+        for node in &mut self.nodes {
+            node.store_cut_until = until;
+        }
+        self.after(ms, What::OutageEnds);
+    }
+
+    /// All grants have their full time again.
+    pub fn end_outage(&mut self) {
+        self.outage_until = self.now;
+        let until = Time(self.now.0 + 5000);
+        for end in self.store.grants.values_mut() {
+            *end = until;
+        }
+    }
+
+    /// Whatever runs and would go on for long.
+    pub fn cancel_running(&mut self) {
+        let runs = self.workers.values().flat_map(|w| w.tasks.iter());
+        let running = runs.filter(|(_, t)| t.state == TaskState::Running);
+        let mut jobs: Vec<JobId> = running.map(|(run, _)| run.task.job.clone()).collect();
+        jobs.sort();
+        jobs.dedup();
+        for job in jobs {
+            self.cancel(&job);
+        }
+    }
+}
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -2,6 +2,7 @@
 //! checked against what really runs. Three controllers' decisions run against them under
 //! crashes, cuts, lost answers and late copies; seeds are fixed, so every run is the same.
 
+mod cancel;
 mod growth;
 mod outside;
 mod world;
@@ -19,6 +20,8 @@
 fn assert_kept(world: &World, what: &str) {
     assert!(world.broken.is_empty(), "{what}: {:?}", world.broken);
     assert!(world.starts > 60, "{what}: only {} starts", world.starts);
+    let waiting = &world.cancelling;
+    assert!(waiting.is_empty(), "{what}: never told {waiting:?}");
     let left = world.unfinished();
     assert!(left.is_empty(), "{what}: never finished {left:?}");
 }
@@ -113,6 +116,30 @@
 /// Whatever was decided before, and whatever comes out of full buffers after: the term that was
 /// lost meanwhile (`leadership`) and machines silent only to one holder (`cloud::fleet`) have tests
 /// of their own.
+/// The leader alone is refused by the state service while others cancel what its machines run,
+/// and then nobody is served for longer than a cancellation has (gap day).
+#[test]
+fn rules_hold_while_cancellations_fall_between_a_refusal_and_an_outage() {
+    let gap = Trouble {
+        gap: true,
+        ..Trouble::default()
+    };
+    let mut met = 0;
+    for seed in 140..150 {
+        let world = play(seed, gap, Breakage::None);
+        assert_kept(&world, &format!("gap, seed {seed}"));
+        met += world.met;
+    }
+    assert!(met >= 10, "cancellations met the gap {met} times");
+    let more = Trouble {
+        crashes: true,
+        lost_answers: true,
+        machines: true,
+        ..gap
+    };
+    days_with("gap and more", 150..156, more);
+}
+
 #[test]
 fn rules_hold_while_controllers_stand_still_and_go_on() {
     let freezes = Trouble {
@@ -203,6 +230,10 @@
         crowd: true,
         ..Trouble::default()
     };
+    let gap = Trouble {
+        gap: true,
+        ..Trouble::default()
+    };
     for (breakage, trouble) in [
         (Breakage::ForgottenAtOnce, repeats),
         (Breakage::LostCallsUnsent, calm),
@@ -210,6 +241,7 @@
         (Breakage::FencesIgnored, all),
         (Breakage::GhostsAnswer, copies),
         (Breakage::DeafObey, deaf),
+        (Breakage::ToldAtOnce, gap),
     ] {
         let caught = (40..100).find(|seed| !play(*seed, trouble, breakage).broken.is_empty());
         println!("{breakage:?} seen with seed {caught:?}");
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -1,6 +1,7 @@
 //! Simulated time, the network between the parts, the troubles, and the checks.
 
 use super::outside::{StoreModel, Worker};
+use crate::cancellation::RoundId;
 use crate::cloud::RentOutcome;
 use crate::config::Config;
 use crate::config::tests::sample_config;
@@ -46,6 +47,9 @@
     pub zone: bool,
     /// Requests that were carried out come once more, up to several leases later.
     pub repeats: bool,
+    /// The state service refuses the leader alone, users cancel through the others, and then it
+    /// is out for everybody for longer than a cancellation has.
+    pub gap: bool,
 }
 
 impl Trouble {
@@ -62,6 +66,7 @@
         freezes: true,
         zone: true,
         repeats: true,
+        gap: true,
     };
 }
 
@@ -79,6 +84,8 @@
     GhostsAnswer,
     /// Commands count as carried out by machines that nothing reaches.
     DeafObey,
+    /// Users are told of a cancellation as soon as its record is written.
+    ToldAtOnce,
     /// Workers forget exited tasks once they have reported them, as if told to at once.
     ForgottenAtOnce,
 }
@@ -91,7 +98,8 @@
     TxnDone(usize, u64, TxnOwner, TxnOutcome),
     Call(usize, u64, MachineId, Token, Session, Vec<Order>, u32),
     CallDone(usize, u64, MachineId, Token, CallOutcome),
-    Peer(usize, Message),
+    /// To, from.
+    Peer(usize, usize, Message),
     Worker(MachineId),
     Checkin(usize, MachineId, u64, Report),
     Copy(usize, Report),
@@ -106,6 +114,15 @@
     Flap,
     User,
     Gangs,
+    /// A user asks for a cancellation, or asks again.
+    Cancel(JobId),
+    /// Whether the user may be told, until then.
+    Told(usize, u64, JobId, RoundId, Time),
+    /// Users call off what runs, all at once.
+    CancelRunning,
+    /// The state service is out for everybody for so long.
+    Outage(u64),
+    OutageEnds,
 }
 
 impl What {
@@ -117,7 +134,8 @@
             | Self::Extend(node)
             | Self::TxnDone(node, ..)
             | Self::CallDone(node, ..)
-            | Self::Peer(node, _)
+            | Self::Peer(node, ..)
+            | Self::Told(node, ..)
             | Self::Checkin(node, ..)
             | Self::Copy(node, _) => Some(*node),
             _ => None,
@@ -144,17 +162,19 @@
     }
 }
 
-struct Node {
-    config: Config,
-    controller: Option<Controller>,
+pub struct Node {
+    pub config: Config,
+    pub controller: Option<Controller>,
     /// Rises with each end, so that what belongs to an earlier life is dropped.
-    life: u64,
+    pub life: u64,
     position: Revision,
     grant: Option<GrantId>,
     old_grant: Option<GrantId>,
-    store_cut_until: Time,
-    peers_cut_until: Time,
-    frozen_until: Time,
+    pub store_cut_until: Time,
+    pub peers_cut_until: Time,
+    pub frozen_until: Time,
+    /// Cancelled jobs whose record this life has written or read.
+    pub over: BTreeSet<JobId>,
 }
 
 /// A large fleet: what the settings allow is then refused beyond its rates, and counted.
@@ -189,18 +209,24 @@
     order: u64,
     queue: BinaryHeap<Reverse<Entry>>,
     rng: StdRng,
-    trouble: Trouble,
-    breakage: Breakage,
+    pub trouble: Trouble,
+    pub breakage: Breakage,
     pub store: StoreModel,
-    nodes: Vec<Node>,
-    workers: BTreeMap<MachineId, Worker>,
+    pub nodes: Vec<Node>,
+    pub workers: BTreeMap<MachineId, Worker>,
     /// Zone `b` and the controller in it hear nothing from outside until then.
     zone_cut_until: Time,
     rented: BTreeMap<String, Vec<MachineId>>,
     next_machine: u64,
     pub jobs: BTreeMap<JobId, JobSpec>,
     done_runs: BTreeMap<JobId, BTreeSet<u32>>,
-    cancelled: BTreeMap<JobId, Time>,
+    /// When users were told that their jobs are cancelled.
+    pub cancelled: BTreeMap<JobId, Time>,
+    /// Cancellations that users wait for.
+    pub cancelling: BTreeSet<JobId>,
+    pub outage_until: Time,
+    /// How often troubles met as the day's name says.
+    pub met: u64,
     over_seen: BTreeMap<JobId, JobState>,
     pub healed: bool,
     pub broken: Vec<String>,
@@ -210,11 +236,11 @@
     pub scale: Option<Scale>,
 }
 
-const MEMBERS: [&str; 3] = ["c0", "c1", "c2"];
+pub const MEMBERS: [&str; 3] = ["c0", "c1", "c2"];
 /// The controller in zone `b`.
 const INSIDE: usize = 2;
-const LEASE: u64 = 16_000;
-const CANCEL: u64 = 30_000;
+pub const LEASE: u64 = 16_000;
+pub const CANCEL: u64 = 30_000;
 /// A machine that nothing reaches for so long must have been given up.
 const DEAF: u64 = 36_000;
 
@@ -223,6 +249,9 @@
         let nodes = (0..3).map(|i| {
             let mut config = sample_config();
             config.member = MEMBERS[i].into();
+            let addr = config.peer_listen;
+            let others = MEMBERS.iter().filter(|m| **m != MEMBERS[i]);
+            config.peers = others.map(|m| (Member::from(*m), addr)).collect();
             Node {
                 config,
                 controller: None,
@@ -233,6 +262,7 @@
                 store_cut_until: Time(0),
                 peers_cut_until: Time(0),
                 frozen_until: Time(0),
+                over: BTreeSet::new(),
             }
         });
         let mut world = Self {
@@ -255,6 +285,9 @@
             jobs: BTreeMap::new(),
             done_runs: BTreeMap::new(),
             cancelled: BTreeMap::new(),
+            cancelling: BTreeSet::new(),
+            outage_until: Time(0),
+            met: 0,
             over_seen: BTreeMap::new(),
             healed: false,
             broken: Vec::new(),
@@ -296,7 +329,10 @@
                 return;
             }
             self.now = entry.0;
-            self.store.expire(self.now);
+            // In an outage grants keep their time.
+            if self.outage_until <= self.now {
+                self.store.expire(self.now);
+            }
             self.happen(entry.2);
         }
     }
@@ -322,6 +358,7 @@
             node.store_cut_until = self.now;
             node.peers_cut_until = self.now;
         }
+        self.end_outage();
         for worker in self.workers.values_mut() {
             worker.cut_until = self.now;
             worker.hang_until = self.now;
@@ -438,9 +475,10 @@
                 let now = self.now;
                 self.with(node, life, |c| c.on_call(now, &id, token, outcome));
             }
-            What::Peer(node, message) => {
+            What::Peer(node, from, message) => {
                 let (now, life) = (self.now, self.nodes[node].life);
-                self.with(node, life, |c| c.on_peer(now, message));
+                let from = Member::from(MEMBERS[from]);
+                self.with(node, life, |c| c.on_peer(now, &from, message));
             }
             What::Worker(id) => self.work(&id),
             What::Checkin(node, id, ticket, report) => self.checkin(node, id, ticket, report),
@@ -484,10 +522,21 @@
             }
             What::User => self.user(),
             What::Gangs => self.gangs(),
+            What::Cancel(job) => self.ask_cancellation(job),
+            What::Told(node, life, job, round, until) => {
+                self.tell_cancelled(node, life, job, round, until);
+            }
+            What::CancelRunning => self.cancel_running(),
+            What::Outage(ms) => self.begin_outage(ms),
+            What::OutageEnds => {
+                if self.outage_until <= self.now {
+                    self.end_outage();
+                }
+            }
         }
     }
 
-    fn with(&mut self, node: usize, life: u64, f: impl FnOnce(&mut Controller) -> Vec<Effect>) {
+    pub fn with(&mut self, node: usize, life: u64, f: impl FnOnce(&mut Controller) -> Vec<Effect>) {
         if self.nodes[node].life == life
             && let Some(controller) = self.nodes[node].controller.as_mut()
         {
@@ -497,10 +546,17 @@
     }
 
     fn start(&mut self, node: usize) {
+        // Without the state service there is no mirror and no grant: it answers nobody.
+        let cut = self.nodes[node].store_cut_until;
+        if cut > self.now {
+            self.after(cut.since(self.now).0, What::Start(node));
+            return;
+        }
         let incarnation = Incarnation(self.pick(1, 1 << 40));
         let n = &mut self.nodes[node];
         n.life += 1;
         n.position = Revision(0);
+        n.over.clear();
         let mut controller = Controller::new(&n.config, incarnation);
         let effects = controller.on_snapshot(self.now, self.store.snapshot());
         n.position = self.store.revision;
@@ -577,7 +633,7 @@
         self.after(ms, What::Watch(node));
     }
 
-    fn carry_out(&mut self, node: usize, effects: Vec<Effect>) {
+    pub fn carry_out(&mut self, node: usize, effects: Vec<Effect>) {
         let life = self.nodes[node].life;
         for effect in effects {
             match effect {
@@ -618,7 +674,7 @@
                     let lost = cut || (self.trouble.lost_answers && self.chance(5));
                     if !lost {
                         let ms = self.pick(1, 5);
-                        self.after(ms, What::Peer(to, over_link(&message)));
+                        self.after(ms, What::Peer(to, node, over_link(&message)));
                     }
                 }
                 effect => {
@@ -1048,6 +1104,9 @@
             self.nodes[INSIDE].store_cut_until = until;
             self.nodes[INSIDE].peers_cut_until = until;
         }
+        if self.trouble.gap && self.outage_until <= self.now && self.chance(40) {
+            self.begin_gap();
+        }
         if self.trouble.freezes && self.chance(30) {
             let victim = self.pick(0, 2) as usize;
             let ms = self.pick(4000, 2 * LEASE);
@@ -1154,36 +1213,16 @@
         self.after(ms, What::User);
     }
 
-    pub fn cancel(&mut self, id: &JobId) {
-        let Some((_, revision, _)) = self.store.keys.get(&keys::job(id)) else {
-            return;
-        };
-        let mut txn = Txn::default();
-        txn.require(keys::job(id), *revision);
-        let tasks = self.jobs[id].tasks;
-        txn.put(
-            keys::over(id),
-            &OverRecord {
-                state: JobState::Cancelled,
-                tasks,
-            },
-            None,
-        );
-        txn.delete(keys::job(id));
-        self.ask(txn);
-        self.cancelled.insert(id.clone(), self.now);
-        self.check_over();
-    }
-
     /// What a user asks, as the intake writes it; it may come once more.
-    fn ask(&mut self, txn: Txn) {
-        self.store.txn(&txn);
+    pub fn ask(&mut self, txn: Txn) -> TxnOutcome {
+        let outcome = self.store.txn(&txn);
         if let Some(ms) = self.repeat() {
             self.after(ms, What::Txn(0, u64::MAX, TxnOwner::Nobody, txn, false));
         }
+        outcome
     }
 
-    fn breaks(&mut self, rule: &str, what: impl std::fmt::Display) {
+    pub fn breaks(&mut self, rule: &str, what: impl std::fmt::Display) {
         self.broken
             .push(format!("{rule} at {}: {what}", self.now.0));
     }
@@ -1209,7 +1248,7 @@
     }
 
     /// `not_done` and `went_back`.
-    fn check_over(&mut self) {
+    pub fn check_over(&mut self) {
         if self.scale.is_some() {
             return;
         }
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -155,6 +155,8 @@
     early_plans: BTreeMap<JobId, PlanRecord>,
     /// The jobs of each batch of plans, by the batch's name.
     plan_batches: BTreeMap<String, Vec<JobId>>,
+    /// Jobs that are known to be cancelled, by that change, before the stream has come so far.
+    cancelled: BTreeMap<JobId, Revision>,
 }
 
 fn decode<T: DeserializeOwned>(key: &str, value: Value) -> Option<T> {
@@ -179,6 +181,27 @@
             early_segments: BTreeMap::new(),
             early_plans: BTreeMap::new(),
             plan_batches: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
+        }
+    }
+
+    /// A cancellation that is final, though the stream has not brought it yet: the job leaves the
+    /// mirror at once, and nothing that the stream still brings of it counts. Returns the machines
+    /// on whose records it stands.
+    pub fn cancel(&mut self, job: &JobId, revision: Revision) -> BTreeSet<MachineId> {
+        if revision > self.revision {
+            self.cancelled.insert(job.clone(), revision);
+        }
+        self.jobs.remove(job);
+        let stands = |m: &LiveMachine| m.record.jobs.iter().any(|g| g.job == *job);
+        let carriers = self.machines.iter().filter(|(_, m)| stands(m));
+        carriers.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// A mirror that is read anew takes over which jobs are known to be cancelled.
+    pub fn keep_cancelled(&mut self, old: &Self) {
+        for (job, revision) in &old.cancelled {
+            self.cancel(job, *revision);
         }
     }
 
@@ -197,6 +220,8 @@
             }
         }
         self.revision = self.revision.max(revision);
+        let reached = self.revision;
+        self.cancelled.retain(|_, at| *at > reached);
         ended
     }
 
@@ -240,7 +265,8 @@
                 }
             }
             LiveKey::Job(id) => {
-                if newer!(self.jobs.get(&id))
+                if !self.cancelled.contains_key(&id)
+                    && newer!(self.jobs.get(&id))
                     && let Some(record) = decode::<JobRecord>(key, value)
                 {
                     self.put_job(id, record, revision);
--- a/src/workers/desk.rs
+++ b/src/workers/desk.rs
@@ -1,6 +1,6 @@
 //! What is known of one machine under one token, and what may be concluded from it.
 
-use crate::ids::{Amounts, Revision, Run, Seq, Session, Span, Time, Token};
+use crate::ids::{Amounts, JobId, Revision, Run, Seq, Session, Span, Time, Token};
 use crate::peers::End;
 use crate::store::records::MachineRecord;
 use crate::wire::{JobSpec, Order, Report, TaskState, Why};
@@ -351,6 +351,13 @@
         self.confirmed && self.starts.get(run).is_none_or(|s| s.direct == Direct::No)
     }
 
+    /// Whether a direct start of one of the job's tasks is still to be answered.
+    pub fn is_starting(&self, job: &JobId) -> bool {
+        let pending = |s: &Start| s.direct == Direct::Pending;
+        let mut starts = self.starts.iter();
+        starts.any(|(run, s)| run.task.job == *job && pending(s))
+    }
+
     /// Notes the outcome of direct starts. Another fence has forgotten them already.
     pub fn settle(&mut self, orders: &[Order], direct: Direct) {
         for order in orders {
--- a/src/workers/holder.rs
+++ b/src/workers/holder.rs
@@ -4,8 +4,8 @@
 use super::desk::{Desk, Direct, Incoming, PendingTxn, Presence, Ripe};
 use crate::config::Config;
 use crate::ids::{
-    Amounts, BlockId, Incarnation, MachineId, Member, Revision, Run, Seq, Session, Span, Time,
-    Token,
+    Amounts, BlockId, Incarnation, JobId, MachineId, Member, Revision, Run, Seq, Session, Span,
+    Time, Token,
 };
 use crate::peers::{Allotment, End, Ended, MachineHealth, Message};
 use crate::store::records::MachineRecord;
@@ -157,6 +157,39 @@
         self.desks.len()
     }
 
+    /// The blocks held here in which nobody who held them before can keep a task of a cancelled
+    /// job alive, or start one: its machines there have seen our token, and no direct start of
+    /// ours is still to be answered.
+    pub fn settled(&self, job: &JobId, replica: &Replica) -> Vec<(BlockId, Revision)> {
+        let open = |id: &MachineId| {
+            let desk = self.desks.get(id);
+            !desk.is_some_and(|d| d.confirmed && !d.superseded && !d.is_starting(job))
+        };
+        let carriers = replica.machines.iter().filter(|(_, m)| {
+            let mut groups = m.record.jobs.iter();
+            groups.any(|g| g.job == *job)
+        });
+        let unsettled: BTreeSet<BlockId> = carriers
+            .filter(|(id, _)| open(id))
+            .map(|(id, _)| id.block(self.blocks))
+            .collect();
+        let held = replica.blocks.keys().filter_map(|b| {
+            let fence = self.fence(replica, *b)?;
+            (!unsettled.contains(b)).then_some((*b, fence))
+        });
+        held.collect()
+    }
+
+    /// How long nothing shows that a machine held here can be used.
+    pub fn silent(&self, now: Time, id: &MachineId) -> Option<Span> {
+        self.desks.get(id).map(|d| d.silent(now))
+    }
+
+    /// Whether a placement here is proved gone, though it may still stand on record.
+    pub fn is_gone(&self, run: &Run) -> bool {
+        self.desks.values().any(|d| d.told.contains(run))
+    }
+
     /// Brings the desks in line with the blocks that the mirror says we hold.
     pub fn sync(&mut self, now: Time, replica: &Replica, out: &mut Vec<Effect>) {
         self.open_desks(now, &BTreeSet::new(), replica);
