--- a/src/cloud/demand.rs
+++ b/src/cloud/demand.rs
@@ -105,11 +105,11 @@
             load.services += need.cpus * u64::from(spec.tasks);
             continue;
         }
-        let limit = config.teams.get(&spec.team).map_or(0, |t| t.limit.cpus);
+        let limit = config.teams.get(&spec.team).map_or(0, |t| t.limit().cpus);
         let left = spec.tasks.saturating_sub(job.done_count());
         let running = (job.placed.len() as u32).min(left);
         let task = task_time(job, replica);
-        let width = (need.cpus * u64::from(left)).min(limit) as f64;
+        let width = need.cpus.saturating_mul(left.into()).min(limit) as f64;
         let age = wall.0.saturating_sub(job.accepted.0) as f64 / 1000.0;
         // Without a deadline there is no hurry, but an end.
         let due = spec.deadline_s.unwrap_or(4.0 * task + 60.0) - age;
--- /dev/null
+++ b/src/config/team.rs
@@ -0,0 +1,76 @@
+//! What a team is guaranteed and may use.
+
+use crate::ids::Amounts;
+
+/// Of each kind of room an amount, or none. Without a limit a team may use any amount of that
+/// kind. Without a guarantee of a kind, what a job takes of that kind does not count: a guarantee
+/// in cards is not broken by the CPUs that tasks with cards need as well.
+#[derive(Debug, Clone)]
+pub struct Team {
+    guarantee: [Option<u64>; 2],
+    limit: [Option<u64>; 2],
+}
+
+/// The kinds that guarantees and limits are given in. Memory has neither.
+fn kinds(amounts: Amounts) -> [u64; 2] {
+    [amounts.cpus, amounts.gpus]
+}
+
+fn above_zero(amounts: Amounts) -> [Option<u64>; 2] {
+    kinds(amounts).map(|a| (a > 0).then_some(a))
+}
+
+impl Team {
+    /// A value of 0 means none.
+    pub fn new(guarantee: Amounts, limit: Amounts) -> Self {
+        Self {
+            guarantee: above_zero(guarantee),
+            limit: above_zero(limit),
+        }
+    }
+
+    /// What it may use; all there is of a kind without a limit.
+    pub fn limit(&self) -> Amounts {
+        let [cpus, gpus] = self.limit.map(|l| l.unwrap_or(u64::MAX));
+        Amounts {
+            cpus,
+            gpus,
+            memory: u64::MAX,
+        }
+    }
+
+    /// Whether the guarantee speaks of anything that a task takes.
+    pub fn guarantees(&self, need: Amounts) -> bool {
+        let named = self.guarantee.iter().zip(kinds(need));
+        named.into_iter().any(|(g, need)| g.is_some() && need > 0)
+    }
+
+    /// Whether a use goes beyond the guarantee in any kind, those that it does not speak of
+    /// included.
+    pub fn is_exceeded(&self, used: Amounts) -> bool {
+        let each = self.guarantee.iter().zip(kinds(used));
+        each.into_iter().any(|(g, used)| used > g.unwrap_or(0))
+    }
+
+    /// Whether a sum of needs stays within the guarantee.
+    pub fn covers(&self, sum: Amounts) -> bool {
+        let each = self.guarantee.iter().zip(kinds(sum));
+        each.into_iter()
+            .all(|(g, used)| g.is_none_or(|g| used <= g))
+    }
+}
+
+#[cfg(test)]
+impl Team {
+    /// With so many CPUs, in thousandths.
+    pub fn of_cpus(guarantee: u64, limit: u64) -> Self {
+        let cpus = |cpus| Amounts {
+            cpus,
+            ..Amounts::default()
+        };
+        Self::new(cpus(guarantee), cpus(limit))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/config/team/tests.rs
@@ -0,0 +1,35 @@
+use super::*;
+
+fn amounts(cpus: u64, gpus: u64) -> Amounts {
+    Amounts {
+        cpus,
+        gpus,
+        memory: 7,
+    }
+}
+
+/// Every job of the dredging deployment was refused: its teams have limits in cards alone.
+#[test]
+fn a_limit_in_cards_alone_leaves_cpus_free() {
+    let team = Team::new(amounts(0, 60), amounts(0, 250));
+    assert!(amounts(1_000_000, 250).fits(team.limit()));
+    assert!(!amounts(1, 251).fits(team.limit()));
+    let both = Team::new(amounts(10, 60), amounts(100, 250));
+    assert!(amounts(100, 250).fits(both.limit()));
+    assert!(!amounts(101, 0).fits(both.limit()));
+    assert!(!amounts(0, 251).fits(both.limit()));
+}
+
+#[test]
+fn a_guarantee_in_cards_alone_covers_cards_whatever_cpus_come_with_them() {
+    let team = Team::new(amounts(0, 60), amounts(0, 250));
+    assert!(team.covers(amounts(1_000_000, 60)));
+    assert!(!team.covers(amounts(1, 61)));
+    assert!(team.guarantees(amounts(5, 1)));
+    assert!(!team.guarantees(amounts(5, 0)));
+    let both = Team::new(amounts(10, 60), amounts(0, 0));
+    assert!(both.covers(amounts(10, 60)) && !both.covers(amounts(11, 1)));
+    assert!(both.guarantees(amounts(5, 0)));
+    let none = Team::new(amounts(0, 0), amounts(0, 0));
+    assert!(!none.guarantees(amounts(5, 5)));
+}
--- a/src/intake/service.rs
+++ b/src/intake/service.rs
@@ -88,9 +88,7 @@
         Kind::Array => 1,
         Kind::Gang | Kind::Service => spec.tasks.into(),
     };
-    let mut total = need.times(at_once);
-    total.memory = 0;
-    (!total.fits(team.limit)).then_some("needs more than the team's limit")
+    (!need.times(at_once).fits(team.limit())).then_some("needs more than the team's limit")
 }
 
 impl Intake {
--- a/src/placement/accounts.rs
+++ b/src/placement/accounts.rs
@@ -40,17 +40,23 @@
         let Some(limits) = self.teams.get(team) else {
             return 0;
         };
-        let free = limits.limit - self.used(team);
-        // A limit of 0 means none of it: a need of 0 still fits.
+        let free = limits.limit() - self.used(team);
         Amounts { memory: 0, ..need }.count_in(free)
     }
 
-    /// Whether the team uses more than its guarantee, so that its work may make room for others'.
-    pub fn beyond_guarantee(&self, team: &TeamId) -> bool {
+    /// Whether the team uses anything beyond its guarantee.
+    pub fn borrows(&self, team: &TeamId) -> bool {
+        let used = self.used(team);
+        self.teams.get(team).is_none_or(|t| t.is_exceeded(used))
+    }
+
+    /// Whether the team uses more than its guarantee, so that its work of such a need may make
+    /// room for others'. What its guarantee does not speak of, it always has beyond it.
+    pub fn beyond_guarantee(&self, team: &TeamId, need: Amounts) -> bool {
         let used = self.used(team);
         self.teams
             .get(team)
-            .is_none_or(|t| used.cpus > t.guarantee.cpus || used.gpus > t.guarantee.gpus)
+            .is_none_or(|t| !t.guarantees(need) || !t.covers(used))
     }
 }
 
@@ -77,7 +83,7 @@
                     log.iter().filter(|(t, _)| t == team).map(|(_, a)| a.cpus).sum()
                 };
                 let mut model = 0;
-                while used(&log) + (model + 1) * need.cpus <= config.teams[team].limit.cpus {
+                while used(&log) + (model + 1) * need.cpus <= config.teams[team].limit().cpus {
                     model += 1;
                 }
                 prop_assert_eq!(accounts.allows(team, need), model);
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -26,7 +26,7 @@
             ..job.spec.need().times(left.into())
         };
         *sum = *sum + need;
-        if sum.fits(team.guarantee) {
+        if team.guarantees(need) && team.covers(*sum) {
             within.insert(id.clone());
         }
     }
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -912,7 +912,7 @@
             let age = Span(self.wall.0.saturating_sub(job.accepted.0));
             let guaranteed = within.contains(&shortage.job) && self.is_worth_room(age);
             let others = self.config.teams.keys().filter(|t| **t != spec.team);
-            let borrowed = guaranteed && others.into_iter().any(|t| accounts.beyond_guarantee(t));
+            let borrowed = guaranteed && others.into_iter().any(|t| accounts.borrows(t));
             if !borrowed && lowest.is_none_or(|p| p >= spec.priority) {
                 continue;
             }
@@ -935,7 +935,7 @@
                                 && victim.team != spec.team
                                 && victim.priority <= spec.priority
                                 && !within.contains(&victim.id)
-                                && accounts.beyond_guarantee(&placed.team);
+                                && accounts.beyond_guarantee(&placed.team, placed.need);
                             let fair = victim.priority < spec.priority || over;
                             (fair && !gone.contains(run)).then_some(victim.priority)
                         };
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -417,7 +417,7 @@
                 *teams.entry(spec.team.as_str()).or_default() += spec.need().cpus;
             }
         }
-        let limit = |spec: &JobSpec| scene.config.teams[&spec.team].limit.cpus;
+        let limit = |spec: &JobSpec| scene.config.teams[&spec.team].limit().cpus;
         for spec in &specs {
             let team = teams.get(spec.team.as_str()).copied().unwrap_or(0);
             prop_assert!(team <= limit(spec));
