--- /dev/null
+++ b/src/sim/checks.rs
@@ -0,0 +1,227 @@
+//! The rules, checked against what really runs.
+
+use super::outside::Worker;
+use super::world::{CANCEL, World};
+use crate::ids::{JobId, MachineId, Revision, Run, Time};
+use crate::store::keys;
+use crate::store::records::OverRecord;
+use crate::wire::{JobState, Kind, TaskState};
+use std::collections::BTreeSet;
+
+/// What a stand-in machine has, in thousandths.
+const MACHINE_CPUS: u64 = 8000;
+/// No job is left waiting for so long beside room that fits.
+const WAITS: u64 = 90_000;
+/// The longest way of a command that is neither held nor lost.
+const JUST_SENT: u64 = 10;
+
+impl World {
+    pub fn breaks(&mut self, rule: &str, what: impl std::fmt::Display) {
+        self.broken
+            .push(format!("{rule} at {}: {what}", self.now.0));
+    }
+
+    /// No record may come back for a machine that was deleted.
+    pub fn check_ghosts(&mut self, at: Revision) {
+        let new = |id: &&MachineId| {
+            let held = self.store.keys.get(&keys::machine(id));
+            let fresh = self
+                .store
+                .log
+                .iter()
+                .filter(|(_, k, _)| *k == keys::machine(id));
+            held.is_some_and(|(_, revision, _)| *revision == at)
+                && fresh
+                    .rev()
+                    .nth(1)
+                    .is_some_and(|(_, _, value)| value.is_none())
+        };
+        if let Some(ghost) = self.gone.iter().find(new).cloned() {
+            self.breaks("brought_back", ghost);
+        }
+    }
+
+    /// `not_done` and `went_back`.
+    pub fn check_over(&mut self) {
+        if self.scale.is_some() {
+            return;
+        }
+        let over: Vec<(JobId, OverRecord)> = self
+            .jobs
+            .keys()
+            .filter_map(|id| {
+                let (value, _, _) = self.store.keys.get(&keys::over(id))?;
+                Some((
+                    id.clone(),
+                    serde_json::from_value(value.clone()).expect("record"),
+                ))
+            })
+            .collect();
+        for (id, record) in over {
+            let before = self.over_seen.insert(id.clone(), record.state);
+            if before.is_some_and(|s| s != record.state) {
+                self.breaks("went_back", &id);
+            }
+            let done = self.done_runs.get(&id).map_or(0, BTreeSet::len);
+            if record.state == JobState::Done && done < self.jobs[&id].tasks as usize {
+                let what = format!(
+                    "{id} {:?} {:?} of {}",
+                    self.jobs[&id].kind,
+                    self.done_runs.get(&id),
+                    self.jobs[&id].tasks
+                );
+                self.breaks("not_done", what);
+            }
+        }
+    }
+
+    /// `ran_cancelled` for what is on a machine, reachable or not.
+    pub fn check_cancelled(&mut self) {
+        let late = |job: &JobId| {
+            let at = self.cancelled.get(job);
+            at.is_some_and(|at| self.now.since(*at).0 > CANCEL)
+        };
+        let there = self.workers.iter().filter(|(_, w)| !w.dead);
+        let runs = there.flat_map(|(id, w)| w.tasks.iter().map(move |(run, task)| (id, run, task)));
+        let alive = runs.filter(|(_, _, t)| t.state != TaskState::Exited);
+        let kept = alive.filter(|(_, run, _)| late(&run.task.job));
+        let kept: Vec<String> = kept.map(|(id, run, _)| format!("{run} on {id}")).collect();
+        for what in kept {
+            self.breaks("ran_cancelled", what);
+        }
+    }
+
+    /// Once all is well, no job waits for long while a machine that fits has room for one of its
+    /// tasks and its team is under its limit.
+    pub fn check_waiting(&mut self) {
+        if !self.healed || self.scale.is_some() {
+            return;
+        }
+        let now = self.now;
+        let alive = |w: &&Worker| !w.dead;
+        let on_machines = self.workers.values().filter(alive).flat_map(|w| &w.tasks);
+        let there: Vec<&Run> = on_machines
+            .filter(|(_, t)| t.state != TaskState::Exited)
+            .map(|(run, _)| run)
+            .collect();
+        let mut waiting = Vec::new();
+        for (id, spec) in &self.jobs {
+            let over = self.store.keys.contains_key(&keys::over(id));
+            let accepted = self.store.keys.contains_key(&keys::job(id));
+            if over || !accepted || there.iter().any(|run| run.task.job == *id) {
+                continue;
+            }
+            let used: u64 = there
+                .iter()
+                .filter_map(|run| self.jobs.get(&run.task.job))
+                .filter(|other| other.team == spec.team)
+                .map(|other| other.need().cpus)
+                .sum();
+            let tasks = if spec.kind == Kind::Array {
+                1
+            } else {
+                spec.tasks
+            };
+            let need = spec.need().cpus * u64::from(tasks);
+            let limit = self.nodes[0].config.teams[&spec.team].limit().cpus;
+            // All of a gang or service on one machine: then it fits wherever it may stand.
+            let fits = |(id, w): &(&MachineId, &Worker)| {
+                let here = there.iter().filter(|run| {
+                    let task = w.tasks.get(*run);
+                    task.is_some_and(|t| t.state != TaskState::Exited)
+                });
+                let taken: u64 = here
+                    .filter_map(|run| self.jobs.get(&run.task.job))
+                    .map(|other| other.need().cpus)
+                    .sum();
+                let recorded = self.store.keys.contains_key(&keys::machine(id));
+                recorded && taken + need <= MACHINE_CPUS && (spec.spot || !w.spot)
+            };
+            let room = self
+                .workers
+                .iter()
+                .filter(|(_, w)| !w.dead)
+                .any(|m| fits(&m));
+            if used + need <= limit && room && !spec.spread {
+                waiting.push(id.clone());
+            }
+        }
+        self.left_waiting.retain(|id, _| waiting.contains(id));
+        for id in waiting {
+            let since = *self.left_waiting.entry(id.clone()).or_insert(now);
+            if now.since(since).0 > WAITS {
+                self.breaks("left_waiting", &id);
+            }
+        }
+    }
+
+    /// The rules about what is on machines, at each start. What was sent a moment ago must not
+    /// start a task of a job whose user was told that it is cancelled.
+    pub fn check_starts(&mut self, at: &MachineId, launched: &[Run], just_sent: bool) {
+        if self.scale.is_some() {
+            self.starts += launched.len() as u64;
+            return;
+        }
+        for run in launched {
+            self.starts += 1;
+            let gang = self
+                .jobs
+                .get(&run.task.job)
+                .is_some_and(|s| s.kind == Kind::Gang);
+            let until = Time(self.now.0 + 30_000);
+            if gang
+                && let Some(w) = self.workers.get_mut(at)
+                && let Some(task) = w.tasks.get_mut(run)
+            {
+                task.state = TaskState::Waiting;
+                task.until = until;
+            }
+            let Some(spec) = self.jobs.get(&run.task.job).cloned() else {
+                continue;
+            };
+            let alive: Vec<(MachineId, Run)> = self
+                .workers
+                .iter()
+                .filter(|(_, w)| !w.dead)
+                .flat_map(|(id, w)| w.tasks.iter().map(move |(r, t)| (id, r, t)))
+                .filter(|(_, _, t)| t.state != TaskState::Exited)
+                .map(|(id, r, _)| (id.clone(), r.clone()))
+                .collect();
+            if alive.iter().any(|(id, r)| r.task == run.task && id != at) {
+                self.breaks("ran_twice", run);
+            }
+            let used: u64 = alive
+                .iter()
+                .filter_map(|(_, r)| self.jobs.get(&r.task.job))
+                .filter(|s| s.team == spec.team)
+                .map(|s| s.need().cpus)
+                .sum();
+            if used > self.nodes[0].config.teams[&spec.team].limit().cpus {
+                self.breaks("quota", run);
+            }
+            let zone_of = |id: &MachineId| self.workers[id].zone;
+            let mine: Vec<&str> = alive
+                .iter()
+                .filter(|(_, r)| r.task.job == run.task.job)
+                .map(|(id, _)| zone_of(id))
+                .collect();
+            let here = mine.iter().filter(|z| **z == zone_of(at)).count();
+            let one_zone = !spec.one_zone || here == mine.len();
+            let spread = !spec.spread || here <= spec.tasks.div_ceil(2) as usize;
+            if !one_zone || !spread || (self.workers[at].spot && !spec.spot) {
+                self.breaks("wrong_place", run);
+            }
+            let late = self
+                .cancelled
+                .get(&spec.id)
+                .is_some_and(|c| self.now.since(*c).0 > CANCEL);
+            if late {
+                self.breaks("ran_cancelled", run);
+            }
+            let told = self.cancelled.get(&spec.id);
+            if just_sent && told.is_some_and(|c| self.now.since(*c).0 > JUST_SENT) {
+                self.breaks("started_cancelled", run);
+            }
+        }
+    }
+}
--- a/src/sim/outside.rs
+++ b/src/sim/outside.rs
@@ -145,6 +145,8 @@
     pub hang_until: Time,
     /// Its reports get out, nothing gets in.
     pub deaf_until: Time,
+    /// Direct commands get in and are answered, reports reach nobody.
+    pub mute_until: Time,
     pub dead: bool,
 }
 
--- /dev/null
+++ b/src/sim/users.rs
@@ -0,0 +1,79 @@
+//! What users ask of a small fleet.
+
+use super::world::{What, World};
+use crate::controller::TxnOwner;
+use crate::ids::{JobId, Revision};
+use crate::store::records::JobRecord;
+use crate::store::{TxnOutcome, keys};
+use crate::wire::state::Txn;
+use crate::wire::{JobSpec, Kind};
+use serde_json::json;
+
+impl World {
+    /// Submits, and cancels now and then.
+    pub fn user(&mut self) {
+        if self.scale.is_some() {
+            return self.many_users();
+        }
+        if self.healed {
+            // What never ends by itself is cancelled, so that the day can end.
+            let services =
+                |(id, s): (&JobId, &JobSpec)| (s.kind == Kind::Service).then(|| id.clone());
+            let open: Vec<JobId> = self.jobs.iter().filter_map(services).collect();
+            for id in &open {
+                self.cancel(id);
+            }
+            return;
+        }
+        let n = self.jobs.len();
+        let id = format!("job-{n:06}");
+        let mut body = crate::wire::tests::submission(&id);
+        let most = if self.trouble.crowd { 24 } else { 9 };
+        body["sheets"] = json!(self.pick(1, most));
+        body["crew"] = json!(if self.chance(50) { "red" } else { "blue" });
+        body["ebb"] = json!(self.chance(50));
+        if self.chance(25) {
+            body["shape"] = json!("daemon");
+            body["precedence"] = json!("high");
+            body["sheets"] = json!(self.pick(1, 2));
+            body["scatter"] = json!(self.chance(50));
+        } else if self.chance(20) {
+            body["same_place"] = json!(true);
+        }
+        if body["shape"] == "array" && self.chance(20) {
+            body["shape"] = json!("group");
+            body["sheets"] = json!(self.pick(2, 5));
+        }
+        let spec = JobSpec::parse(body.to_string().as_bytes()).expect("valid");
+        let mut txn = Txn::default();
+        txn.require(keys::job(&spec.id), Revision(0));
+        txn.require(keys::over(&spec.id), Revision(0));
+        txn.put(
+            keys::job(&spec.id),
+            &JobRecord {
+                spec: spec.clone(),
+                accepted: crate::ids::Wall(self.now.0),
+            },
+            None,
+        );
+        self.ask(txn);
+        self.jobs.insert(spec.id.clone(), spec);
+        if n > 3 && self.chance(25) {
+            let at = self.pick(0, n as u64 - 1) as usize;
+            if let Some(id) = self.jobs.keys().nth(at).cloned() {
+                self.cancel(&id);
+            }
+        }
+        let ms = self.pick(1500, 6000);
+        self.after(ms, What::User);
+    }
+
+    /// What a user asks, as the intake writes it; it may come once more.
+    pub fn ask(&mut self, txn: Txn) -> TxnOutcome {
+        let outcome = self.store.txn(&txn);
+        if let Some(ms) = self.repeat() {
+            self.after(ms, What::Txn(0, u64::MAX, TxnOwner::Nobody, txn, false));
+        }
+        outcome
+    }
+}
