--- /dev/null
+++ b/src/controller/tests.rs
@@ -0,0 +1,91 @@
+use super::*;
+use crate::config::tests::sample_config;
+use crate::ids::{BlockId, Seq, Session};
+use crate::store::records::{BlockRecord, LeaderRecord, MemberRecord};
+use crate::wire::state::Item;
+
+/// A controller that leads and holds every block, in a mirror that never changes again.
+fn alone() -> Controller {
+    let config = sample_config();
+    let (me, incarnation) = (config.member.clone(), Incarnation(1));
+    let mut replica = Replica::new(&config);
+    let mut put = |key: String, value: &dyn erased::Json| {
+        replica.load(Item {
+            key,
+            value: value.json(),
+            revision: Revision(5),
+            grant: None,
+        });
+    };
+    let grant = GrantId(3);
+    put(keys::member(&me), &MemberRecord { incarnation, grant });
+    let leader = LeaderRecord {
+        member: me.clone(),
+        incarnation,
+    };
+    put(keys::LEADER.to_owned(), &leader);
+    for block in 0..config.blocks() {
+        let record = BlockRecord {
+            holder: me.clone(),
+            incarnation,
+            term: Revision(5),
+        };
+        put(keys::block(BlockId(block)), &record);
+    }
+    replica.revision = Revision(5);
+    let mut controller = Controller::new(&config, incarnation);
+    controller.on_snapshot(Time(1), replica);
+    controller
+}
+
+mod erased {
+    pub trait Json {
+        fn json(&self) -> serde_json::Value;
+    }
+    impl<T: serde::Serialize> Json for T {
+        fn json(&self) -> serde_json::Value {
+            serde_json::to_value(self).expect("json")
+        }
+    }
+}
+
+fn report(token: u64) -> Report {
+    Report {
+        machine: "vm-1".into(),
+        addr: "1.1.1.1:1".into(),
+        type_name: "t".into(),
+        zone: "a".into(),
+        spot: false,
+        session: Session(1),
+        seq: Seq(1),
+        token: Token::of(Revision(token), 0),
+        notice_s: None,
+        tasks: Vec::new(),
+    }
+}
+
+/// Seen with real processes: nothing else changed, and the machine was never used.
+#[test]
+fn a_machine_that_answers_gets_its_desk_though_the_mirror_stands_still() {
+    let mut controller = alone();
+    let (_, effects) = controller.on_checkin(Time(1000), &report(0));
+    let asked = effects.iter().any(|e| matches!(e, Effect::Call { .. }));
+    assert!(asked && controller.holder.desk_count() == 0);
+    let done = CallOutcome::Done(report(5));
+    controller.on_call(Time(1010), &"vm-1".into(), Token::of(Revision(5), 0), done);
+    controller.tick(Time(1500), crate::ids::Wall(1500));
+    assert_eq!(controller.holder.desk_count(), 1);
+}
+
+/// A leader that the state service refuses alone went on renting, and emptied machines that
+/// its successor had placed replicas on (Tramite grown, apart).
+#[test]
+fn a_leader_that_is_not_sure_of_its_grant_leaves_the_cloud_alone() {
+    let mut controller = alone();
+    let calls = |effects: Vec<Effect>| effects.iter().any(|e| matches!(e, Effect::List));
+    controller.assure(Time(2000));
+    assert!(calls(controller.tick(Time(1000), crate::ids::Wall(1000))));
+    let mut later = alone();
+    later.assure(Time(2000));
+    assert!(!calls(later.tick(Time(3000), crate::ids::Wall(3000))));
+}
--- a/src/intake/service.rs
+++ b/src/intake/service.rs
@@ -5,14 +5,15 @@
 use crate::config::Config;
 use crate::controller::Controller;
 use crate::http::Response;
-use crate::ids::{JobId, Revision, Wall};
+use crate::ids::{JobId, Revision, Wall, Zone};
 use crate::runtime::{Sender, oneshot};
 use crate::store::records::{JobRecord, OverRecord};
 use crate::store::tokens::Class;
 use crate::store::{Store, StoreError, TxnOutcome, keys};
 use crate::wire::state::Txn;
-use crate::wire::{Catalog, JobSpec, JobState, JobStatus, Kind, valid_job_id};
+use crate::wire::{Catalog, JobSpec, JobState, JobStatus, Kind, submitted_id, valid_job_id};
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -76,14 +77,22 @@
         return Some("unknown team");
     };
     let need = spec.need();
-    let fits = catalog.types.iter().any(|t| {
-        let allowed = spec.types.as_ref().is_none_or(|l| l.contains(&t.name));
-        let zone = spec.zone.as_ref().is_none_or(|z| t.zones.contains(z));
-        allowed && zone && need.fits(t.room())
+    let allowed = |z: &Zone| spec.zone.as_ref().is_none_or(|only| only == z);
+    let fitting = catalog.types.iter().filter(|t| {
+        let listed = spec.types.as_ref().is_none_or(|l| l.contains(&t.name));
+        listed && need.fits(t.room())
     });
-    if !fits {
+    let zones: BTreeSet<&Zone> = fitting
+        .flat_map(|t| t.zones.iter().filter(|z| allowed(z)))
+        .collect();
+    if zones.is_empty() {
         return Some("a task fits no allowed machine type");
     }
+    // Those that stand all at once, of which one zone may have no more than half.
+    let at_once = spec.kind != Kind::Array && spec.spread && spec.tasks > 1;
+    if at_once && (spec.one_zone || zones.len() < 2) {
+        return Some("its tasks may not be in one zone, nor in several");
+    }
     let at_once = match spec.kind {
         Kind::Array => 1,
         Kind::Gang | Kind::Service => spec.tasks.into(),
@@ -113,7 +122,7 @@
     pub async fn submit(&self, body: &[u8]) -> Response {
         let spec = match JobSpec::parse(body) {
             Ok(spec) => spec,
-            Err(message) => return Response::error(400, &message),
+            Err(message) => return self.malformed(body, &message).await,
         };
         let id = spec.id.clone();
         let (known, catalog) = {
@@ -155,6 +164,17 @@
         }
     }
 
+    /// What was accepted once is known, whatever its repeat lacks.
+    async fn malformed(&self, body: &[u8], message: &str) -> Response {
+        let Some(id) = submitted_id(body) else {
+            return Response::error(400, message);
+        };
+        match self.poll_known(&id).await {
+            known if known.status == 404 => Response::error(400, message),
+            known => known,
+        }
+    }
+
     pub async fn poll(&self, id: &str) -> Response {
         if !valid_job_id(id) {
             return Response::error(404, "no such job");
@@ -318,47 +338,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::config::tests::sample_config;
-
-    fn catalog() -> Catalog {
-        serde_json::from_value(serde_json::json!({"hulls": [
-            {"name": "t8", "cores": 8, "cards": 0, "memory_gb": 32, "cache_gb": 50, "fetch_gb_per_s": 1.0,
-             "price": 1.0, "low_price": 0.5, "startup_s": 20, "berths": ["a"]}]}))
-        .expect("catalog")
-    }
-
-    #[test]
-    fn what_can_never_run_is_told_from_what_must_wait() {
-        let config = sample_config();
-        let base = crate::wire::tests::spec("job-000001");
-        let verdict = |change: &dyn Fn(&mut JobSpec)| {
-            let mut spec = base.clone();
-            change(&mut spec);
-            impossible(&spec, &config, &catalog())
-        };
-        assert_eq!(verdict(&|_| ()), None);
-        // Far more tasks than the limit are fine for an array, and never for a service.
-        assert_eq!(verdict(&|s| s.tasks = 100_000), None);
-        assert!(
-            verdict(&|s| {
-                s.tasks = 13;
-                s.kind = Kind::Service
-            })
-            .is_some()
-        );
-        assert_eq!(
-            verdict(&|s| {
-                s.tasks = 12;
-                s.kind = Kind::Service
-            }),
-            None
-        );
-        assert!(verdict(&|s| s.team = "green".into()).is_some());
-        assert!(verdict(&|s| s.cpus = 8.5).is_some());
-        assert!(verdict(&|s| s.zone = Some("b".into())).is_some());
-        assert!(verdict(&|s| s.types = Some(vec!["t9".into()])).is_some());
-        assert!(verdict(&|s| s.gpus = 1.0).is_some());
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/intake/service/tests.rs
@@ -0,0 +1,263 @@
+use super::*;
+use crate::config::tests::sample_config;
+use crate::http::{Method, Request, serve};
+use crate::runtime::{self, Receiver, Scope, TcpListener, channel};
+use crate::store::replica::Replica;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+fn catalog() -> Catalog {
+    serde_json::from_value(serde_json::json!({"hulls": [
+        {"name": "t8", "cores": 8, "cards": 0, "memory_gb": 32, "cache_gb": 50, "fetch_gb_per_s": 1.0,
+         "price": 1.0, "low_price": 0.5, "startup_s": 20, "berths": ["a"]}]}))
+    .expect("catalog")
+}
+
+#[test]
+fn what_can_never_run_is_told_from_what_must_wait() {
+    let config = sample_config();
+    let base = crate::wire::tests::spec("job-000001");
+    let verdict = |change: &dyn Fn(&mut JobSpec)| {
+        let mut spec = base.clone();
+        change(&mut spec);
+        impossible(&spec, &config, &catalog())
+    };
+    assert_eq!(verdict(&|_| ()), None);
+    // Far more tasks than the limit are fine for an array, and never for a service.
+    assert_eq!(verdict(&|s| s.tasks = 100_000), None);
+    assert!(
+        verdict(&|s| {
+            s.tasks = 13;
+            s.kind = Kind::Service
+        })
+        .is_some()
+    );
+    assert_eq!(
+        verdict(&|s| {
+            s.tasks = 12;
+            s.kind = Kind::Service
+        }),
+        None
+    );
+    assert!(verdict(&|s| s.team = "green".into()).is_some());
+    assert!(verdict(&|s| s.cpus = 8.5).is_some());
+    assert!(verdict(&|s| s.zone = Some("b".into())).is_some());
+    assert!(verdict(&|s| s.types = Some(vec!["t9".into()])).is_some());
+    assert!(verdict(&|s| s.gpus = 1.0).is_some());
+    // Two replicas of which at most one may be in a zone need two zones.
+    let apart = |kind: Kind| {
+        verdict(&move |s| {
+            s.tasks = 2;
+            s.kind = kind;
+            s.spread = true;
+        })
+    };
+    assert!(apart(Kind::Service).is_some() && apart(Kind::Gang).is_some());
+    assert!(apart(Kind::Array).is_none());
+}
+
+/// A state service that holds a few keys: enough for what the intake asks of it.
+#[derive(Default)]
+struct StandIn {
+    keys: BTreeMap<String, (Value, u64)>,
+    revision: u64,
+    away: bool,
+}
+
+impl StandIn {
+    fn answer(&mut self, request: &Request) -> Response {
+        if self.away {
+            return Response::error(503, "trouble");
+        }
+        if request.method == Method::Get {
+            let key = request.path.trim_start_matches("/kv/");
+            return match self.keys.get(key) {
+                Some((value, at)) => {
+                    Response::json(200, &json!({"key": key, "data": value, "amendment": at}))
+                }
+                None => Response::json(404, &json!({"edition": self.revision})),
+            };
+        }
+        let txn: Value = serde_json::from_slice(&request.body).expect("transaction");
+        let list = |field: &str| txn[field].as_array().cloned().unwrap_or_default();
+        let text = |v: &Value| v.as_str().expect("key").to_owned();
+        let stands = |c: &Value| {
+            let found = self.keys.get(&text(&c["key"])).map_or(0, |k| k.1);
+            c["amendment"].as_u64() == Some(found)
+        };
+        let failed: Vec<String> = list("if")
+            .iter()
+            .filter(|c| !stands(c))
+            .map(|c| text(&c["key"]))
+            .collect();
+        if !failed.is_empty() {
+            return Response::json(409, &json!({"failed": failed, "edition": self.revision}));
+        }
+        self.revision += u64::from(!list("then").is_empty());
+        for change in list("then") {
+            match change["write"].as_str() {
+                Some(key) => {
+                    let value = (change["data"].clone(), self.revision);
+                    self.keys.insert(key.to_owned(), value);
+                }
+                None => drop(self.keys.remove(&text(&change["delete"]))),
+            }
+        }
+        Response::json(200, &json!({"edition": self.revision}))
+    }
+}
+
+struct Scene {
+    state: Rc<RefCell<StandIn>>,
+    addr: SocketAddr,
+    _served: Scope,
+}
+
+impl Scene {
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0".parse().expect("addr")).expect("bind");
+        let addr = listener.local_addr().expect("addr");
+        let state = Rc::new(RefCell::new(StandIn::default()));
+        let mut served = Scope::default();
+        let answering = state.clone();
+        served.spawn(serve(listener, 100, move |request| {
+            let response = answering.borrow_mut().answer(&request);
+            async move { response }
+        }));
+        Self {
+            state,
+            addr,
+            _served: served,
+        }
+    }
+
+    /// The intake of a controller that has just started: its mirror knows of no job, and of the
+    /// machine types only if it is told.
+    fn intake(&self, types: bool) -> (Intake, Receiver<Cancellation>) {
+        let config = sample_config();
+        let store = Store::new(self.addr, 1e4, 1e4, 1 << 20, Instant::now());
+        let mut controller = Controller::new(&config, crate::ids::Incarnation(1));
+        let mut replica = Replica::new(&config);
+        if types {
+            replica.load(crate::wire::state::Item {
+                key: keys::CATALOG.to_owned(),
+                value: serde_json::to_value(catalog()).expect("json"),
+                revision: Revision(1),
+                grant: None,
+            });
+        }
+        controller.on_snapshot(crate::ids::Time(1), replica);
+        let (asked, cancellations) = channel();
+        let controller = Rc::new(RefCell::new(controller));
+        let intake = Intake::new(&config, Rc::new(store), controller, asked);
+        (intake, cancellations)
+    }
+}
+
+fn body(id: &str, change: impl Fn(&mut Value)) -> Vec<u8> {
+    let mut body = crate::wire::tests::submission(id);
+    change(&mut body);
+    body.to_string().into_bytes()
+}
+
+fn stand(response: &Response) -> (u16, String) {
+    let body: Value = serde_json::from_slice(&response.body).unwrap_or_default();
+    let standing = body["standing"].as_str().unwrap_or_default();
+    (response.status, standing.to_owned())
+}
+
+/// What is refused for good, what has to come again, and what was accepted once: at a controller
+/// that accepted it, at one that knows nothing yet, and while nothing can be read.
+#[test]
+fn bad_requests_are_told_from_repeats_of_accepted_jobs_at_every_controller() {
+    runtime::run(async {
+        let scene = Scene::new();
+        let (first, _kept) = scene.intake(true);
+        let (fresh, _kept_too) = scene.intake(false);
+        let whole = body("job-1", |_| ());
+        let lacking = |id: &str| {
+            body(id, |b| {
+                b.as_object_mut().expect("object").remove("crew");
+            })
+        };
+        let unknown_team = |id: &str| body(id, |b| b["crew"] = json!("green"));
+        assert_eq!(first.submit(&lacking("job-1")).await.status, 400);
+        assert_eq!(first.submit(&unknown_team("job-1")).await.status, 422);
+        assert_eq!(first.submit(b"{").await.status, 400);
+        // Machine types are not known there: it can't tell, and says so at once.
+        let later = fresh.submit(&whole).await;
+        assert_eq!((later.status, later.retry_after), (503, Some(COME_BACK)));
+        assert_eq!(first.submit(&whole).await.status, 201);
+        for repeat in [&whole, &lacking("job-1"), &unknown_team("job-1")] {
+            let answer = first.submit(repeat).await;
+            assert_eq!(stand(&answer), (200, "pending".into()));
+        }
+        // One that knows no machine types recognises the id all the same, or has it come again.
+        let answer = fresh.submit(&lacking("job-1")).await;
+        assert_eq!(stand(&answer), (200, "pending".into()));
+        assert_eq!(fresh.submit(&unknown_team("job-1")).await.status, 503);
+        for intake in [&first, &fresh] {
+            assert_eq!(intake.poll("job-1").await.status, 200);
+            assert_eq!(intake.poll("job-2").await.status, 404);
+            assert_eq!(intake.submit(&lacking("job-2")).await.status, 400);
+        }
+        scene.state.borrow_mut().away = true;
+        for intake in [&first, &fresh] {
+            assert_eq!(intake.submit(&lacking("job-1")).await.status, 503);
+            assert_eq!(intake.poll("job-1").await.status, 503);
+            assert_eq!(intake.poll("job-3").await.status, 503);
+        }
+    })
+    .expect("loop");
+}
+
+/// Nobody hears of a cancellation before it is known, by whatever way they ask; and then at once.
+#[test]
+fn a_cancellation_is_answered_by_nobody_before_it_is_known() {
+    runtime::run(async {
+        let scene = Scene::new();
+        let (first, mut asked) = scene.intake(true);
+        let (other, mut asked_there) = scene.intake(true);
+        assert_eq!(first.submit(&body("job-1", |_| ())).await.status, 201);
+        let known = Rc::new(std::cell::Cell::new(false));
+        let answer = |mut asked: Receiver<Cancellation>| {
+            let known = known.clone();
+            async move {
+                while let Some(cancellation) = asked.recv().await {
+                    cancellation.known.send(known.get());
+                }
+            }
+        };
+        assert!(asked.try_recv().is_none() && asked_there.try_recv().is_none());
+        let mut scope = Scope::default();
+        scope.spawn(answer(asked));
+        scope.spawn(answer(asked_there));
+        for intake in [&first, &other, &first] {
+            let refused = intake.cancel("job-1").await;
+            assert_eq!(
+                (refused.status, refused.retry_after),
+                (503, Some(COME_BACK))
+            );
+            assert_eq!(intake.poll("job-1").await.status, 503);
+            assert_eq!(intake.submit(&body("job-1", |_| ())).await.status, 503);
+        }
+        known.set(true);
+        // In an outage too, where the record was read before.
+        scene.state.borrow_mut().away = true;
+        for intake in [&first, &other] {
+            assert_eq!(
+                stand(&intake.cancel("job-1").await),
+                (200, "withdrawn".into())
+            );
+        }
+        known.set(false);
+        for intake in [&first, &other] {
+            assert_eq!(
+                stand(&intake.poll("job-1").await),
+                (200, "withdrawn".into())
+            );
+        }
+    })
+    .expect("loop");
+}
--- /dev/null
+++ b/src/peers/frame/tests.rs
@@ -0,0 +1,43 @@
+use super::*;
+use crate::ids::{Incarnation, Revision, Run, TaskId};
+use proptest::prelude::*;
+
+#[test]
+fn messages_survive_their_frames_and_foreign_frames_are_told() {
+    let task = TaskId::parse("job-1/2").expect("task");
+    let message = Message::Refused {
+        fence: Revision(u64::MAX),
+        runs: vec![
+            Run {
+                task,
+                attempt: crate::ids::Attempt(1 << 40)
+            };
+            3
+        ],
+    };
+    let frame = encode(&message).expect("frame");
+    assert_eq!(decode(&frame), Ok(Some((message, frame.len()))));
+    assert_eq!(decode(&frame[..frame.len() - 1]), Ok(None));
+    let mut other = frame.clone();
+    other[4] = VERSION + 1;
+    assert_eq!(decode(&other), Err(FrameError::Version(VERSION + 1)));
+    other = frame;
+    other[0] = 0xff;
+    assert!(matches!(decode(&other), Err(FrameError::TooLong(_))));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, rng_seed: proptest::test_runner::RngSeed::Fixed(9), failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn any_bytes_are_survived(body in proptest::collection::vec(any::<u8>(), 0..200), at in 0usize..40, flip in any::<u8>()) {
+        let mut frame = (body.len() as u32).to_be_bytes().to_vec();
+        frame.push(VERSION);
+        frame.extend_from_slice(&body);
+        decode(&frame).ok();
+        let hello = Message::Hello { member: "c1".into(), incarnation: Incarnation(4) };
+        let mut frame = encode(&hello).expect("frame");
+        let at = at % frame.len();
+        frame[at] ^= flip;
+        decode(&frame).ok();
+    }
+}
--- a/src/placement/accounts.rs
+++ b/src/placement/accounts.rs
@@ -61,38 +61,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-
-    proptest! {
-        #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(21), failure_persistence: None, ..ProptestConfig::default() })]
-        /// The model admits one task at a time and adds everything up anew for each.
-        #[test]
-        fn admitted_counts_agree_with_one_by_one_admission(
-            steps in proptest::collection::vec((0usize..2, 1u64..9, 0u64..3), 1..30))
-        {
-            let config = crate::config::tests::sample_config();
-            let teams: Vec<TeamId> = config.teams.keys().cloned().collect();
-            let mut accounts = Accounts::new(&config.teams, BTreeMap::new());
-            let mut log: Vec<(TeamId, Amounts)> = Vec::new();
-            for (team, cpus, memory) in steps {
-                let team = &teams[team];
-                let need = Amounts { cpus: cpus * 1000, gpus: 0, memory: memory * 50_000 };
-                let used = |log: &[(TeamId, Amounts)]| -> u64 {
-                    log.iter().filter(|(t, _)| t == team).map(|(_, a)| a.cpus).sum()
-                };
-                let mut model = 0;
-                while used(&log) + (model + 1) * need.cpus <= config.teams[team].limit().cpus {
-                    model += 1;
-                }
-                prop_assert_eq!(accounts.allows(team, need), model);
-                if model > 0 {
-                    accounts.charge(team, need);
-                    log.push((team.clone(), need));
-                }
-                prop_assert_eq!(accounts.used(team).cpus, used(&log));
-            }
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/store/replica/tests.rs
@@ -0,0 +1,159 @@
+use super::super::keys;
+use super::*;
+use crate::config::tests::sample_config;
+use crate::ids::{Run, TaskId};
+use serde_json::json;
+
+fn put(key: String, value: Value, revision: u64) -> Event {
+    Event {
+        put: Some(key),
+        delete: None,
+        value,
+        revision: Revision(revision),
+    }
+}
+
+fn job_value(id: &str) -> Value {
+    json!({"spec": crate::wire::tests::spec(id), "accepted": 1})
+}
+
+#[test]
+fn a_record_committed_here_is_not_undone_by_an_older_copy_from_the_stream() {
+    let mut replica = Replica::new(&sample_config());
+    let id = JobId::from("job-1");
+    replica.apply(
+        Revision(1),
+        vec![put(keys::job(&id), job_value("job-1"), 1)],
+    );
+    let spec = replica.jobs[&id].spec.clone();
+    let mut record = MachineRecord::new("1.1.1.1:1", &"t".into(), &"z".into(), false);
+    let empty = serde_json::to_value(&record).expect("json");
+    let run = Run {
+        task: TaskId {
+            job: id.clone(),
+            index: 2,
+        },
+        attempt: Attempt(9),
+    };
+    record.add(&run, &spec);
+    let machine = MachineId::from("vm-1");
+    replica.put_machine(machine.clone(), record, Revision(5));
+    replica.apply(
+        Revision(4),
+        vec![put(keys::machine(&machine), empty.clone(), 4)],
+    );
+    assert!(replica.jobs[&id].placed.contains_key(&2));
+    assert_eq!(replica.team_usage()[&TeamId::from("red")].cpus, 2000);
+    replica.apply(Revision(6), vec![put(keys::machine(&machine), empty, 6)]);
+    assert!(replica.jobs[&id].placed.is_empty());
+    assert_eq!(replica.machines[&machine].images.len(), 1);
+}
+
+/// A repeated transaction brought a deleted machine's record back, with an attempt that had
+/// long been followed by another: when it went again, the task was taken for waiting.
+#[test]
+fn a_record_that_comes_back_and_goes_takes_no_later_placement_along() {
+    let mut replica = Replica::new(&sample_config());
+    let id = JobId::from("job-1");
+    replica.apply(
+        Revision(2),
+        vec![put(keys::job(&id), job_value("job-1"), 2)],
+    );
+    let spec = replica.jobs[&id].spec.clone();
+    let mut write = |machine: &str, attempt: u64, at: u64| {
+        let task = TaskId {
+            job: id.clone(),
+            index: 2,
+        };
+        let mut record = MachineRecord::new("1.1.1.1:1", &"t".into(), &"z".into(), false);
+        let attempt = Attempt(attempt);
+        record.add(&Run { task, attempt }, &spec);
+        let key = keys::machine(&machine.into());
+        let value = serde_json::to_value(&record).expect("json");
+        let gone = Event {
+            delete: Some(key.clone()),
+            put: None,
+            value: Value::Null,
+            revision: Revision(at + 1),
+        };
+        replica.apply(Revision(at), vec![put(key, value, at)]);
+        let there = replica.jobs[&id].placed[&2].clone();
+        (gone, there)
+    };
+    let (last, _) = write("vm-2", 9, 5);
+    let (ghost, there) = write("vm-1", 3, 7);
+    assert_eq!(there, ("vm-2".into(), Attempt(9)));
+    replica.apply(Revision(8), vec![ghost]);
+    assert_eq!(replica.jobs[&id].placed[&2], there);
+    let mut gone = last;
+    gone.revision = Revision(9);
+    replica.apply(Revision(9), vec![gone]);
+    assert!(replica.jobs[&id].placed.is_empty());
+}
+
+#[test]
+fn plans_and_counters_that_come_before_their_job_are_kept_for_it() {
+    let mut replica = Replica::new(&sample_config());
+    let id = JobId::from("job-1");
+    let mut bits = Bitmap::default();
+    bits.set(3);
+    replica.apply(
+        Revision(3),
+        vec![
+            put(
+                keys::segment(&id, 0),
+                serde_json::to_value(&bits).expect("json"),
+                3,
+            ),
+            put(
+                keys::plans("1-1"),
+                json!({"job-1": {"type_name": null, "machines": [], "predicted_s": 4.0}}),
+                3,
+            ),
+            put(keys::job(&id), job_value("job-1"), 2),
+        ],
+    );
+    let job = &replica.jobs[&id];
+    assert_eq!(job.open_tasks(1024).collect::<Vec<_>>(), vec![0, 1, 2]);
+    assert!(job.plan.is_some() && replica.orphans().is_empty());
+    let gone = Event {
+        delete: Some(keys::job(&id)),
+        put: None,
+        value: Value::Null,
+        revision: Revision(4),
+    };
+    assert_eq!(replica.apply(Revision(4), vec![gone]), vec![id]);
+    assert_eq!(replica.orphans(), vec![keys::plans("1-1")]);
+}
+
+/// A task that is done stays done, whichever of its records comes or goes first.
+#[test]
+fn done_tasks_count_once_wherever_they_stand() {
+    let mut replica = Replica::new(&sample_config());
+    let id = JobId::from("job-1");
+    let machine = MachineId::from("vm-1");
+    let mut record = MachineRecord::new("1.1.1.1:1", &"t".into(), &"z".into(), false);
+    record.count(&id, 1, 2);
+    let value = serde_json::to_value(&record).expect("json");
+    let job = put(keys::job(&id), job_value("job-1"), 2);
+    replica.apply(
+        Revision(2),
+        vec![put(keys::machine(&machine), value, 1), job],
+    );
+    assert_eq!(replica.jobs[&id].done_count(), 2);
+    let mut bits = Bitmap::default();
+    bits.set(2);
+    let bits = serde_json::to_value(&bits).expect("json");
+    replica.apply(Revision(3), vec![put(keys::segment(&id, 0), bits, 3)]);
+    assert_eq!(replica.jobs[&id].done_count(), 2);
+    assert!(replica.jobs[&id].needs(&record.done[0], 8192));
+    let gone = Event {
+        delete: Some(keys::machine(&machine)),
+        put: None,
+        value: Value::Null,
+        revision: Revision(4),
+    };
+    replica.apply(Revision(4), vec![gone]);
+    let job = &replica.jobs[&id];
+    assert!(job.done_count() == 2 && job.is_done(1, 8192) && job.is_done(2, 8192));
+}
--- /dev/null
+++ b/src/wire/tests.rs
@@ -0,0 +1,95 @@
+use super::*;
+use crate::ids::TaskId;
+use proptest::prelude::*;
+use serde_json::json;
+
+pub fn submission(id: &str) -> serde_json::Value {
+    json!({"id": id, "docket": "batch", "crew": "red", "shape": "array", "precedence": "normal",
+           "sheets": 4, "cores": 2.0, "cards": 0.0, "memory_gb": 4.0, "plate": "img-1",
+           "image_gb": 1.0, "hulls": null, "same_place": false, "scatter": false, "ebb": true,
+           "reckon_s": 30.0, "fix_s": 0.0, "stow_s": 0.0, "due_s": 90.0, "novelty": [1]})
+}
+
+pub fn spec(id: &str) -> JobSpec {
+    JobSpec::parse(submission(id).to_string().as_bytes()).expect("a valid submission")
+}
+
+#[test]
+fn a_submission_is_read_and_survives_its_stored_form() {
+    let spec = spec("job-000001");
+    let stored = serde_json::to_vec(&spec).expect("json");
+    assert_eq!(JobSpec::parse(&stored).expect("stored form"), spec);
+}
+
+#[test]
+fn malformed_submissions_name_the_field() {
+    let cases = [
+        ("id", json!("task-1")),
+        ("id", json!("job-")),
+        ("sheets", json!(0)),
+        ("sheets", json!(100_001)),
+        ("sheets", json!(1.5)),
+        ("cores", json!(-1.0)),
+        ("cores", json!("four")),
+        ("memory_gb", json!(1e300)),
+        ("crew", json!("")),
+        ("plate", json!("a b")),
+        ("shape", json!("circle")),
+        ("precedence", json!(null)),
+        ("ebb", json!("yes")),
+        ("due_s", json!(-5)),
+    ];
+    for (field, value) in cases {
+        let mut body = submission("job-000001");
+        body[field] = value.clone();
+        assert!(
+            JobSpec::parse(body.to_string().as_bytes()).is_err(),
+            "{field}={value}"
+        );
+    }
+    for field in ["id", "crew", "sheets", "same_place", "fix_s"] {
+        let mut body = submission("job-000001");
+        body.as_object_mut().expect("object").remove(field);
+        let error = JobSpec::parse(body.to_string().as_bytes()).expect_err(field);
+        assert!(error.contains(field), "{error}");
+    }
+    for body in ["[]", "null", "\"x\"", "{", ""] {
+        assert!(JobSpec::parse(body.as_bytes()).is_err());
+    }
+}
+
+#[test]
+fn orders_take_the_protocols_words() {
+    let run = Run {
+        task: TaskId::parse("job-1/2").expect("task"),
+        attempt: Attempt(3),
+    };
+    let list = [
+        Order::Start(run.clone()),
+        Order::Stop(run.clone(), Span(1500)),
+        Order::Forget(run),
+    ];
+    let body: serde_json::Value =
+        serde_json::from_slice(&orders(Token(9), Some(Session(2)), &list)).expect("json");
+    assert_eq!(
+        body,
+        json!({"helm": 9, "watch": 2, "orders": [
+            {"order": "launch", "sheet": "job-1/2", "sortie": 3},
+            {"order": "stop", "sheet": "job-1/2", "sortie": 3, "slack_s": 1.5},
+            {"order": "reap", "sheet": "job-1/2", "sortie": 3}]})
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: proptest::test_runner::RngSeed::Fixed(3), failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn any_json_is_survived(cut in 0usize..400, byte in any::<u8>()) {
+        let mut body = submission("job-000001").to_string().into_bytes();
+        let at = cut % body.len();
+        body[at] = byte;
+        JobSpec::parse(&body).ok();
+        Report::parse(&body).ok();
+        body.truncate(at);
+        prop_assert!(JobSpec::parse(&body).is_err());
+    }
+}
