--- a/src/daemon/cancellations.rs
+++ b/src/daemon/cancellations.rs
@@ -41,5 +41,7 @@
         }
     }
     node.controller.borrow_mut().close_round(round);
+    let took = begun.elapsed();
+    tracing::debug!(%job, settled, ?took, "cancellation");
     cancellation.settled.send(settled);
 }
