--- /dev/null
+++ b/src/sim/ends.rs
@@ -0,0 +1,125 @@
+//! The last task's end, a cancellation, repeated submissions and late copies of each, in every order:
+//! whatever comes first decides, for good, and each answer is one that the records allow.
+
+use super::outside::StoreModel;
+use crate::config::tests::sample_config;
+use crate::ids::{JobId, MachineId, Revision, Wall};
+use crate::planning::counter;
+use crate::store::records::{JobRecord, MachineRecord, OverRecord};
+use crate::store::{TxnOutcome, keys};
+use crate::wire::JobState;
+use crate::wire::state::Txn;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    Submitted,
+    Ended,
+    Cancelled,
+}
+
+const ALL: [Step; 6] = [
+    Step::Submitted,
+    Step::Submitted,
+    Step::Ended,
+    Step::Ended,
+    Step::Cancelled,
+    Step::Cancelled,
+];
+
+fn submission(id: &JobId) -> Txn {
+    let record = JobRecord {
+        spec: crate::wire::tests::spec(id.as_str()),
+        accepted: Wall(1),
+    };
+    let mut txn = Txn::default();
+    txn.require(keys::job(id), Revision(0));
+    txn.require(keys::over(id), Revision(0));
+    txn.put(keys::job(id), &record, None);
+    txn
+}
+
+fn cancellation(id: &JobId, accepted: Revision) -> Txn {
+    let mut txn = Txn::default();
+    txn.require(keys::job(id), accepted);
+    let record = OverRecord {
+        state: JobState::Cancelled,
+        tasks: 4,
+    };
+    txn.put(keys::over(id), &record, None);
+    txn.delete(keys::job(id));
+    txn
+}
+
+/// The end as the leader writes it, once a machine's record says that all tasks are done.
+fn end(store: &mut StoreModel, id: &JobId) -> Txn {
+    let config = sample_config();
+    let mut record = MachineRecord::new("1.1.1.1:1", &"t8".into(), &"a".into(), false);
+    record.count(id, 0, 3);
+    let mut txn = Txn::default();
+    txn.put(keys::machine(&MachineId::from("vm-1")), &record, None);
+    store.txn(&txn);
+    let replica = store.snapshot();
+    let (size, most) = (config.segment_tasks(), config.txn_ops);
+    counter::release(id, &replica.jobs[id], size, most).expect("all tasks are done")
+}
+
+fn standing(store: &StoreModel, id: &JobId) -> Option<JobState> {
+    let (value, ..) = store.keys.get(&keys::over(id))?;
+    let record: OverRecord = serde_json::from_value(value.clone()).expect("record");
+    Some(record.state)
+}
+
+fn orders(rest: &[Step]) -> Vec<Vec<Step>> {
+    let mut all = Vec::new();
+    for (at, first) in rest.iter().enumerate() {
+        if rest[..at].contains(first) {
+            continue;
+        }
+        let mut left = rest.to_vec();
+        left.remove(at);
+        if left.is_empty() {
+            return vec![vec![*first]];
+        }
+        for mut order in orders(&left) {
+            order.insert(0, *first);
+            all.push(order);
+        }
+    }
+    all
+}
+
+#[test]
+fn ends_cancellations_and_repeats_in_any_order_leave_one_answer_for_good() {
+    let id = JobId::from("job-1");
+    let orders = orders(&ALL);
+    assert_eq!(orders.len(), 90);
+    for order in orders {
+        let mut store = StoreModel::default();
+        let TxnOutcome::Committed(accepted) = store.txn(&submission(&id)) else {
+            panic!("not accepted");
+        };
+        let ended = end(&mut store, &id);
+        let first = order.iter().find(|s| **s != Step::Submitted);
+        let expected = match first {
+            Some(Step::Ended) => JobState::Done,
+            _ => JobState::Cancelled,
+        };
+        let mut seen = None;
+        for step in &order {
+            let txn = match step {
+                Step::Submitted => submission(&id),
+                Step::Ended => ended.clone(),
+                Step::Cancelled => cancellation(&id, accepted),
+            };
+            let outcome = store.txn(&txn);
+            let done = matches!(outcome, TxnOutcome::Committed(_));
+            let now = standing(&store, &id);
+            assert!(seen.is_none() || now == seen, "{order:?} went back");
+            assert_eq!(done, seen.is_none() && now.is_some(), "{order:?} {step:?}");
+            let live = store.keys.contains_key(&keys::job(&id));
+            assert!(live != now.is_some(), "{order:?}: neither or both");
+            seen = now;
+        }
+        assert_eq!(seen, Some(expected), "{order:?}");
+    }
+}
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -4,6 +4,7 @@
 
 mod cancel;
 mod checks;
+mod ends;
 mod growth;
 mod outside;
 mod troubles;
