--- /dev/null
+++ b/src/controller/cancel.rs
@@ -0,0 +1,134 @@
+//! Cancellations: telling the others, saying when all is gone, and giving up what can't be stopped.
+
+use super::*;
+
+impl Controller {
+    /// Tells everybody of a cancellation that is committed; [`Self::is_settled`] says when its
+    /// user may hear of it.
+    pub fn announce(
+        &mut self,
+        now: Time,
+        job: &JobId,
+        revision: Revision,
+        age: Span,
+    ) -> (RoundId, Vec<Effect>) {
+        let mut effects = Vec::new();
+        self.learn_cancelled(now, job, revision, age, &mut effects);
+        let round = self.rounds.open(job, revision);
+        effects.extend(self.turn(now));
+        effects.extend(self.ask_round(now, round));
+        (round, effects)
+    }
+
+    /// Asks the others, once more if need be: what they answered first was perhaps not proved yet.
+    pub fn ask_round(&self, now: Time, round: RoundId) -> Vec<Effect> {
+        let Some((job, revision)) = self.rounds.asks(round) else {
+            return Vec::new();
+        };
+        let age = self.overdue.age(now, job).unwrap_or_default();
+        let message = Message::Cancelled {
+            round,
+            job: job.clone(),
+            revision,
+            age,
+        };
+        let peers = self.config.peers.keys();
+        peers
+            .map(|peer| Effect::Peer(peer.clone(), message.clone()))
+            .collect()
+    }
+
+    pub fn is_settled(&mut self, now: Time, round: RoundId) -> bool {
+        let Some(job) = self.rounds.asks(round).map(|(job, _)| job.clone()) else {
+            return false;
+        };
+        let settled = self.settled(now, &job);
+        self.rounds
+            .on_known(round, &job, &self.config.member, settled);
+        let carriers = self.replica.carriers(&job).map(|id| {
+            let block = id.block(self.config.blocks());
+            let lease = self.replica.blocks.get(&block);
+            (block, lease.map(|l| l.revision))
+        });
+        let view = View {
+            revision: self.replica.revision,
+            carriers: carriers.collect(),
+        };
+        self.rounds.is_settled(round, &view)
+    }
+
+    /// The blocks held here in which a cancelled job's tasks are proved gone. Where neither a stop
+    /// nor a deletion was answered for as long as users allow, it has to do that this holder
+    /// knows: a user is not left without an answer for longer.
+    pub(super) fn settled(&self, now: Time, job: &JobId) -> Vec<(BlockId, Revision)> {
+        let age = self.overdue.age(now, job);
+        let long = age.is_some_and(|a| a >= self.config.cancel);
+        let gone = |id: &MachineId| self.fleet.is_deleted(id);
+        self.holder.settled(job, long, gone, &self.replica)
+    }
+
+    pub fn close_round(&mut self, round: RoundId) {
+        self.rounds.close(round);
+    }
+
+    /// Acts on a cancellation as the stream would: its tasks are stopped and none is started.
+    pub(super) fn learn_cancelled(
+        &mut self,
+        now: Time,
+        job: &JobId,
+        revision: Revision,
+        age: Span,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.replica.cancel(job, revision);
+        let carriers = self.replica.carriers(job).cloned().collect();
+        self.overdue.cancelled(now, job, age);
+        let mut out = Vec::new();
+        self.holder
+            .on_changed(now, &carriers, &self.replica, &mut out);
+        self.holder_effects(now, out, effects);
+        self.dirty = true;
+    }
+
+    /// Gives up machines on which a cancelled job's tasks could not be stopped in time.
+    pub(super) fn give_up_overdue(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let patience = self.fleet.patience(&self.replica);
+        let silent = |id: &MachineId| self.scheduler.is_silent(now, id, patience, &self.replica);
+        let freed = |run: &Run| self.scheduler.is_freed(run);
+        let due = self
+            .overdue
+            .due(now, self.config.cancel, &self.replica, silent, freed);
+        effects.extend(due.ask.into_iter().map(Effect::Standing));
+        if !due.give_up.is_empty() {
+            tracing::info!(machines = ?due.give_up, "cancelled work can't be stopped there");
+            self.fleet.give_up(now, due.give_up);
+            self.next_fleet = now;
+        }
+    }
+
+    /// The same by a holder that does not lead, or does not know that it still does: a deletion
+    /// needs the cloud and no fence. In an outage of the state service nobody leads for certain.
+    pub(super) fn give_up_own(&mut self, now: Time, due: bool, effects: &mut Vec<Effect>) {
+        if !due {
+            return;
+        }
+        let patience = self.fleet.patience(&self.replica);
+        let holder = &self.holder;
+        let silent = |id: &MachineId| holder.silent(now, id).is_some_and(|s| s >= patience);
+        let freed = |run: &Run| holder.is_gone(run);
+        let due = self
+            .overdue
+            .due(now, self.config.cancel, &self.replica, silent, freed);
+        self.giving_up
+            .retain(|_, at| now.since(*at) < GIVE_UP_AGAIN);
+        let (asked, fleet) = (&self.giving_up, &self.fleet);
+        let new = |id: &MachineId| !asked.contains_key(id) && !fleet.is_deleted(id);
+        let ids: Vec<MachineId> = due.give_up.into_iter().filter(new).collect();
+        if !ids.is_empty() {
+            tracing::info!(machines = ?ids, "cancelled work can't be stopped on machines held here");
+            self.giving_up
+                .extend(ids.iter().map(|id| (id.clone(), now)));
+            effects.push(Effect::Delete(ids));
+        }
+    }
+}
--- /dev/null
+++ b/src/controller/lead.rs
@@ -0,0 +1,258 @@
+//! The leader's turn: plans, ends, the cloud, and what is to be cleaned up.
+
+use super::*;
+
+impl Controller {
+    pub(super) fn lead(&mut self, now: Time, term: Revision, effects: &mut Vec<Effect>) {
+        let due = (self.dirty && now >= self.next_schedule)
+            || now.since(self.last_schedule) >= SCHEDULE_EVERY;
+        if due {
+            self.dirty = false;
+            self.last_schedule = now;
+            let pause = Span((self.replica.machines.len() / MACHINES_PER_MS) as u64);
+            self.next_schedule = now + SCHEDULE_PAUSE + pause;
+            self.plan(now);
+            self.release(now, effects);
+            let mut out = Vec::new();
+            self.scheduler.drive(now, term, &self.replica, &mut out);
+            for effect in out {
+                match effect {
+                    placement::Effect::ToHolder(member, message) => {
+                        if member == self.config.member {
+                            self.deliver(now, *message, effects);
+                        } else {
+                            effects.push(Effect::Peer(member, *message));
+                        }
+                    }
+                    placement::Effect::RenewBlock(block) => self.renew(block, effects),
+                }
+            }
+        }
+        self.write_plans(now, term, effects);
+        if now >= self.next_fleet {
+            self.next_fleet = now + FLEET_EVERY;
+            let mut out = Vec::new();
+            self.fleet
+                .drive(now, term, &self.replica, &mut self.scheduler, &mut out);
+            effects.extend(self.cloud_effects(now, out));
+            self.store_catalog(effects);
+        }
+        if now >= self.next_history {
+            self.next_history = now + HISTORY_EVERY;
+            if let Some((pipeline, record)) = self.history.next(&self.replica) {
+                let mut txn = Txn::default();
+                txn.require(keys::LEADER, term);
+                txn.put(keys::history(&pipeline), &record, None);
+                effects.push(Effect::Txn {
+                    owner: TxnOwner::Nobody,
+                    class: Class::Record,
+                    txn,
+                });
+            }
+        }
+        if now >= self.next_clean {
+            self.next_clean = now + CLEAN_EVERY;
+            self.forget_lost(now);
+            self.fold(effects);
+            let mut txn = Txn::default();
+            for key in self.replica.orphans() {
+                txn.delete(key);
+            }
+            if !txn.changes.is_empty() {
+                effects.push(Effect::Txn {
+                    owner: TxnOwner::Nobody,
+                    class: Class::Record,
+                    txn,
+                });
+            }
+        }
+    }
+
+    /// Plans what was accepted. The plan serves at once; its record follows.
+    pub(super) fn plan(&mut self, now: Time) {
+        let new: Vec<JobId> = self
+            .replica
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.plan.is_none())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in new {
+            let Some(plan) = self
+                .replica
+                .jobs
+                .get(&id)
+                .map(|job| plan_job(job, &self.replica))
+            else {
+                continue;
+            };
+            if let Some(job) = self.replica.jobs.get_mut(&id) {
+                job.plan = Some(plan.clone());
+            }
+            if self.plans.is_empty() {
+                self.plans_since = now;
+            }
+            self.plans.insert(id, plan);
+        }
+    }
+
+    /// Writes plans in batches: one change for many. The batch goes once all its jobs are over.
+    pub(super) fn write_plans(&mut self, now: Time, term: Revision, effects: &mut Vec<Effect>) {
+        let room = self.config.value_bytes / 2;
+        let full = 600 * self.plans.len() > room;
+        let due = full || now.since(self.plans_since) >= PLANS_GATHER;
+        let waits = self.plans_in_flight || now < self.plans_again;
+        if self.plans.is_empty() || waits || !due {
+            return;
+        }
+        let mut batch = PlanBatch::new();
+        let mut size = 0;
+        while size < room
+            && let Some((id, plan)) = self.plans.pop_first()
+        {
+            if self.replica.jobs.contains_key(&id) {
+                let machines = plan.machines.iter().map(|m| 4 + m.as_str().len());
+                size += 80 + id.as_str().len() + machines.sum::<usize>();
+                batch.insert(id, plan);
+            }
+        }
+        self.plans_since = now;
+        if batch.is_empty() {
+            return;
+        }
+        self.plan_batch += 1;
+        let name = format!("{term}-{}", self.plan_batch);
+        let mut txn = Txn::default();
+        txn.require(keys::LEADER, term);
+        txn.require(keys::plans(&name), Revision(0));
+        txn.put(keys::plans(&name), &batch, None);
+        self.plans_in_flight = true;
+        effects.push(Effect::Txn {
+            owner: TxnOwner::Plans(batch.into_keys().collect()),
+            class: Class::Record,
+            txn,
+        });
+    }
+
+    /// Ends jobs all of whose tasks are counted as done.
+    pub(super) fn release(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.releasing
+            .retain(|id, at| self.replica.jobs.contains_key(id) && now.since(*at) < RELEASE_AGAIN);
+        for (id, job) in &self.replica.jobs {
+            if !self.releasing.contains_key(id)
+                && let Some(txn) =
+                    counter::release(id, job, self.config.segment_tasks(), self.config.txn_ops)
+            {
+                self.releasing.insert(id.clone(), now);
+                effects.push(Effect::Txn {
+                    owner: TxnOwner::Release(id.clone()),
+                    class: Class::Place,
+                    txn,
+                });
+            }
+        }
+    }
+
+    /// Forgets machines without a record of which no holder has spoken for a while: what is there
+    /// will be found again. Not at once: a holder speaks of a new one only after a moment, and
+    /// forgotten before that it was never used (simulated seed 557 of the crowded days).
+    pub(super) fn forget_lost(&mut self, now: Time) {
+        let unrecorded = self.replica.machines.iter();
+        let unheard: Vec<MachineId> = unrecorded
+            .filter(|(id, m)| m.revision == Revision(0) && !self.scheduler.heard_of(now, id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        self.unheard.retain(|id, _| unheard.contains(id));
+        for id in unheard {
+            let since = *self.unheard.entry(id.clone()).or_insert(now);
+            if now.since(since) >= UNHEARD {
+                self.replica.forget(&id);
+            }
+        }
+    }
+
+    /// Moves what machines' records count into the jobs' own counters where a record grows long.
+    pub(super) fn fold(&mut self, effects: &mut Vec<Effect>) {
+        let long = self.config.value_bytes / 4;
+        let records = self.replica.machines.values().map(|m| &m.record);
+        let full = records.filter(|r| r.done_bound() > long);
+        let jobs: BTreeSet<&JobId> = full.flat_map(|r| r.done.iter().map(|d| &d.job)).collect();
+        for id in jobs.into_iter().take(FOLDS) {
+            let mut txn = Txn::default();
+            if let Some(job) = self.replica.jobs.get(id) {
+                let (size, room) = (self.config.segment_tasks(), self.config.txn_ops);
+                counter::fold(&mut txn, id, job, size, room);
+            }
+            if !txn.changes.is_empty() {
+                effects.push(Effect::Txn {
+                    owner: TxnOwner::Nobody,
+                    class: Class::Place,
+                    txn,
+                });
+            }
+        }
+    }
+
+    pub(super) fn store_catalog(&mut self, effects: &mut Vec<Effect>) {
+        if self.catalog_in_flight {
+            return;
+        }
+        if let Some(catalog) = self.fleet.catalog_to_store(&self.replica) {
+            self.catalog_in_flight = true;
+            let mut txn = Txn::default();
+            txn.put(keys::CATALOG, catalog, None);
+            effects.push(Effect::Txn {
+                owner: TxnOwner::Catalog,
+                class: Class::Place,
+                txn,
+            });
+        }
+    }
+
+    pub(super) fn cloud_effects(&mut self, now: Time, out: Vec<cloud::Effect>) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for effect in out {
+            match effect {
+                cloud::Effect::Rent(request) => effects.push(Effect::Rent(request)),
+                cloud::Effect::Delete(ids) => effects.push(Effect::Delete(ids)),
+                cloud::Effect::List => effects.push(Effect::List),
+                cloud::Effect::Catalog => effects.push(Effect::Catalog),
+                cloud::Effect::DropRecord(id) => {
+                    self.dropping.retain(|_, at| now.since(*at) < Span(1000));
+                    if let Some(machine) = self.replica.machines.get(&id)
+                        && !self.dropping.contains_key(&id)
+                    {
+                        // The holder may have placed something meanwhile: then this fails, and
+                        // is built anew on what stands.
+                        if machine.revision == Revision(0) {
+                            self.replica.forget(&id);
+                            continue;
+                        }
+                        self.dropping.insert(id.clone(), now);
+                        let mut txn = Txn::default();
+                        txn.require(keys::machine(&id), machine.revision);
+                        // What was counted there goes into the jobs' own counters first: a
+                        // leader that reads everything anew would run it again.
+                        let mut all = true;
+                        for done in &machine.record.done {
+                            let room = self.config.txn_ops - 1 - txn.changes.len();
+                            if let Some(job) = self.replica.jobs.get(&done.job) {
+                                let size = self.config.segment_tasks();
+                                all &= counter::fold(&mut txn, &done.job, job, size, room);
+                            }
+                        }
+                        if all {
+                            txn.delete(keys::machine(&id));
+                        }
+                        effects.push(Effect::Txn {
+                            owner: TxnOwner::Nobody,
+                            class: Class::Place,
+                            txn,
+                        });
+                    }
+                }
+            }
+        }
+        effects
+    }
+}
