--- a/src/cloud/fleet/tests.rs
+++ b/src/cloud/fleet/tests.rs
@@ -58,6 +58,7 @@
                 machine: id.clone(),
                 fence: Revision(5),
                 silent: Span(30_000),
+                missed: Span(30_000),
                 confirmed: true,
                 notice: None,
                 unrecorded: None,
--- a/src/leadership/hearing.rs
+++ b/src/leadership/hearing.rs
@@ -67,7 +67,9 @@
             }
             let counts = holders.entry(&lease.value.holder).or_default();
             counts.0 += 1;
-            if last.silent >= patience {
+            // Through others a holder may hear them all: its commands get nowhere for all that
+            // (Savannah fleet, apart: 0.83 to 0.73 while only silence counted).
+            if last.silent.max(last.missed) >= patience {
                 counts.1 += 1;
                 counts.2 += usize::from(self.strays.contains_key(&last.machine));
             }
@@ -84,82 +86,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::config::tests::sample_config;
-    use crate::ids::{GrantId, Incarnation, Revision};
-    use crate::store::keys;
-    use crate::store::records::{BlockRecord, MemberRecord};
-    use crate::wire::state::Item;
-
-    fn scene() -> (Config, Replica) {
-        let config = sample_config();
-        let mut replica = Replica::new(&config);
-        let mut put = |key: String, value: serde_json::Value| {
-            replica.load(Item {
-                key,
-                value,
-                revision: Revision(5),
-                grant: None,
-            });
-        };
-        for (n, member) in ["c0", "c1", "c2"].into_iter().enumerate() {
-            let record = MemberRecord {
-                incarnation: Incarnation(n as u64),
-                grant: GrantId(n as u64 + 1),
-            };
-            let value = serde_json::to_value(&record).expect("json");
-            put(keys::member(&member.into()), value);
-        }
-        for block in 0..config.blocks() {
-            let record = BlockRecord {
-                holder: format!("c{}", block % 3).as_str().into(),
-                incarnation: Incarnation(u64::from(block % 3)),
-                term: Revision(5),
-            };
-            let value = serde_json::to_value(&record).expect("json");
-            put(keys::block(BlockId(block)), value);
-        }
-        (config, replica)
-    }
-
-    fn health(n: u32, silent: u64) -> MachineHealth {
-        MachineHealth {
-            machine: format!("vm-{n:03}").as_str().into(),
-            fence: Revision(5),
-            silent: Span(silent),
-            confirmed: true,
-            notice: None,
-            unrecorded: None,
-            gangs: Vec::new(),
-        }
-    }
-
-    /// Machine n belongs to block n mod 6, which c(n mod 3) holds.
-    #[test]
-    fn only_a_holder_whose_silent_machines_others_hear_is_relieved() {
-        let (config, replica) = scene();
-        let mut hearing = Hearing::new(&config);
-        let all: Vec<MachineHealth> = (0..60)
-            .map(|n| health(n, if n % 3 == 1 { 9000 } else { 100 }))
-            .collect();
-        let judge = |hearing: &mut Hearing, now: u64| {
-            hearing.judge(Time(now), config.blocks(), all.iter(), &replica);
-            hearing.resting()
-        };
-        assert!(
-            judge(&mut hearing, 1000).is_empty(),
-            "perhaps a zone is cut off"
-        );
-        let of = |m: u32| (0..60).filter(move |n| n % 3 == m);
-        let named = |m: u32| of(m).map(|n| health(n, 0).machine).collect();
-        hearing.on_strays(Time(2000), named(2));
-        assert!(judge(&mut hearing, 2100).is_empty(), "those are not silent");
-        hearing.on_strays(Time(3000), named(1));
-        let deaf: Vec<Member> = judge(&mut hearing, 3100).into_iter().collect();
-        assert_eq!(deaf, ["c1".into()]);
-        let later = 3100 + 2 * config.lease.0;
-        hearing.judge(Time(later), config.blocks(), [].iter(), &replica);
-        assert!(hearing.resting().is_empty(), "and tried again later");
-    }
-}
+mod tests;
--- a/src/peers/messages.rs
+++ b/src/peers/messages.rs
@@ -119,6 +119,8 @@
     pub fence: Revision,
     /// Time without a word, reports and answered probes alike.
     pub silent: Span,
+    /// Time without a report that came straight from it, and not through another controller.
+    pub missed: Span,
     /// It has said so under the holder's own token.
     pub confirmed: bool,
     pub notice: Option<Span>,
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -69,6 +69,7 @@
             machine: id.clone(),
             fence: self.replica.blocks[&block].revision,
             silent: Span(0),
+            missed: Span(0),
             confirmed: true,
             notice: None,
             unrecorded: None,
--- a/src/workers/desk.rs
+++ b/src/workers/desk.rs
@@ -204,8 +204,13 @@
         self.reach(now);
     }
 
+    /// How long no report has come straight from the machine.
+    pub fn missed(&self, now: Time) -> Span {
+        now.since(self.straight)
+    }
+
     pub fn is_missed(&self, now: Time, straight: Span) -> bool {
-        now.since(self.straight) > straight
+        self.missed(now) > straight
     }
 
     pub fn is_relayed(&self) -> bool {
--- a/src/workers/holder.rs
+++ b/src/workers/holder.rs
@@ -608,6 +608,7 @@
         machine: id.clone(),
         fence: desk.fence,
         silent: desk.silent(now),
+        missed: desk.missed(now),
         confirmed: desk.confirmed && !desk.superseded,
         notice: desk.notice.map(|at| at.since(now)),
         unrecorded: replica
