The scheduler is split along its duties; behaviour unchanged

scheduler.rs (1,175 lines, drive alone 297) becomes ledger (allotments and ends not on record yet), candidates, zone_rule, preference, replicas, shortage, preemption, pass (one scheduling pass in named steps) and scheduler (what is remembered between passes).

--- /dev/null
+++ b/src/placement/candidates.rs
@@ -0,0 +1,113 @@
+//! The machines that can take work in one scheduling pass.
+
+use super::replicas::replicas;
+use crate::config::Config;
+use crate::ids::{Amounts, BlockId, MachineId, Member, Revision, TypeName, Zone};
+use crate::store::replica::{LiveMachine, Replica};
+use crate::wire::JobSpec;
+use std::collections::BTreeMap;
+
+/// One machine in a scheduling pass.
+pub(super) struct Candidate<'a> {
+    pub id: &'a MachineId,
+    pub block: BlockId,
+    pub fence: Revision,
+    pub holder: &'a Member,
+    pub type_name: &'a TypeName,
+    pub zone: &'a Zone,
+    pub spot: bool,
+    /// What the empty machine offers.
+    pub room: Amounts,
+    /// What is left of it, less what this pass has given out.
+    pub free: Amounts,
+    pub images: Vec<&'a str>,
+    pub fetch_gb_per_s: f64,
+    pub replicas: usize,
+    pub replicas_use: Amounts,
+}
+
+/// Room that the mirror doesn't show yet, by machine.
+#[derive(Default)]
+pub(super) struct Pending<'a> {
+    /// Allotted, and not placed on record.
+    pub promised: BTreeMap<&'a MachineId, Amounts>,
+    /// Proved gone, and still on record.
+    pub freed: BTreeMap<&'a MachineId, Amounts>,
+}
+
+impl<'a> Candidate<'a> {
+    fn new(
+        id: &'a MachineId,
+        machine: &'a LiveMachine,
+        replica: &'a Replica,
+        config: &Config,
+        pending: &Pending<'a>,
+    ) -> Option<Self> {
+        let record = &machine.record;
+        let machine_type = replica.machine_type(&record.type_name)?;
+        let block = id.block(config.blocks());
+        let lease = replica.blocks.get(&block)?;
+        let room = machine_type.room();
+        let promised = pending.promised.get(id).copied().unwrap_or_default();
+        let freed = pending.freed.get(id).copied().unwrap_or_default();
+        let used = record.used() + promised - freed;
+        let (replicas, replicas_use) = replicas(machine, replica);
+        Some(Self {
+            id,
+            block,
+            fence: lease.revision,
+            holder: &lease.value.holder,
+            type_name: &record.type_name,
+            zone: &record.zone,
+            spot: record.spot,
+            room,
+            fetch_gb_per_s: machine_type.fetch_gb_per_s.max(0.01),
+            free: room - used,
+            images: machine.images.iter().map(|(i, _)| i.as_str()).collect(),
+            replicas,
+            replicas_use,
+        })
+    }
+
+    pub fn has_image(&self, spec: &JobSpec) -> bool {
+        self.images.contains(&spec.image.as_str())
+    }
+
+    /// Seconds until the job's image is there.
+    pub fn fetch_seconds(&self, spec: &JobSpec) -> f64 {
+        if self.has_image(spec) {
+            0.0
+        } else {
+            spec.image_gb / self.fetch_gb_per_s
+        }
+    }
+
+    /// Whether the job may run on this type, in this zone, on this kind of machine.
+    pub fn is_allowed(&self, spec: &JobSpec) -> bool {
+        spec.allows(self.type_name, self.zone, self.spot)
+    }
+}
+
+/// All machines that are usable, with the room that is left on them.
+pub(super) fn collect<'a>(
+    replica: &'a Replica,
+    config: &Config,
+    pending: &Pending<'a>,
+    usable: impl Fn(&MachineId) -> bool,
+) -> Vec<Candidate<'a>> {
+    let machines = replica.machines.iter().filter(|(id, _)| usable(id));
+    machines
+        .filter_map(|(id, machine)| Candidate::new(id, machine, replica, config, pending))
+        .collect()
+}
+
+/// The CPUs of the machines that have each image, used or not.
+pub(super) fn image_rooms<'a>(candidates: &[Candidate<'a>]) -> BTreeMap<&'a str, u64> {
+    let mut rooms = BTreeMap::new();
+    for candidate in candidates {
+        for image in &candidate.images {
+            *rooms.entry(*image).or_default() += candidate.room.cpus;
+        }
+    }
+    rooms
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -2,13 +2,23 @@
 //! is stopped to make room.
 
 mod accounts;
+mod candidates;
 mod faults;
 mod gangs;
+mod ledger;
 mod order;
+mod pass;
+mod preemption;
+mod preference;
+mod replicas;
 mod scheduler;
+mod shortage;
+mod zone_rule;
 
 pub use order::service_order;
-pub use scheduler::{Effect, Scheduler, Shortage, replicas, spare_replicas};
+pub use replicas::{replicas, spare_replicas};
+pub use scheduler::{Effect, Scheduler};
+pub use shortage::Shortage;
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/placement/pass.rs
@@ -0,0 +1,554 @@
+//! One scheduling pass: every waiting job in its order gets the room that is left for it.
+
+use super::accounts::Accounts;
+use super::candidates::{Candidate, image_rooms};
+use super::faults::Faults;
+use super::gangs::{Gangs, Next, missing};
+use super::ledger::AllottedTasks;
+use super::order::{oldest_first, rank};
+use super::preemption::victims;
+use super::preference::{Search, choices};
+use super::shortage::Shortage;
+use super::zone_rule::ZoneRule;
+use crate::config::Config;
+use crate::ids::{
+    Amounts, Attempt, JobId, MachineId, Member, Revision, Run, Span, TaskId, TeamId, Time, Wall,
+};
+use crate::peers::{Allotment, attempt};
+use crate::store::records::PlacedJob;
+use crate::store::replica::{LiveJob, Replica};
+use crate::store::tokens::{Bucket, Class};
+use crate::wire::Kind;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Seconds of fetching that a replica is spared if possible.
+const QUICK: f64 = 0.8;
+/// How long it waits for the place that is being made.
+pub(super) const AWAIT: Span = Span(1200);
+/// While a smaller part of a second's worth of changes is left, tasks go where one change places
+/// the most. Near the full: else single tasks on nearly full machines use up what a large array
+/// needs next.
+const PLENTY: f64 = 0.9;
+/// Fetching is worth waiting for another place from this part of a task's own time on. Below, the
+/// wait costs more than it saves, and places of few tasks use up changes (Savannah fleet, calm).
+const FETCH_PART: f64 = 0.2;
+/// An array that has waited so long for its first task takes any place.
+const PATIENT: Span = Span(60_000);
+/// Tasks of one allotment.
+const BATCH: usize = 400;
+
+/// Numbers of attempts: never used twice, since a term's number leads them.
+#[derive(Default)]
+pub(super) struct Attempts {
+    pub term: Revision,
+    counter: u64,
+}
+
+impl Attempts {
+    pub fn of_term(term: Revision) -> Self {
+        Self { term, counter: 0 }
+    }
+
+    fn next(&mut self) -> Attempt {
+        self.counter += 1;
+        attempt(self.term, self.counter)
+    }
+}
+
+/// An allotment on its way out, with what it is booked under.
+pub(super) struct Outgoing {
+    pub holder: Member,
+    pub machine: MachineId,
+    pub team: TeamId,
+    pub need: Amounts,
+    pub allotment: Allotment,
+}
+
+/// A waiting job's turn.
+#[derive(Clone, Copy)]
+struct Turn<'a> {
+    id: &'a JobId,
+    job: &'a LiveJob,
+    /// Only places where the job's image is.
+    cached_only: bool,
+}
+
+impl Turn<'_> {
+    fn kind(&self) -> Kind {
+        self.job.spec.kind
+    }
+
+    fn need(&self) -> Amounts {
+        self.job.spec.need()
+    }
+}
+
+/// The tasks of a job that are to be placed now.
+struct Request {
+    open: Vec<u32>,
+    /// The one attempt of all of a gang's tasks.
+    attempt: Option<Attempt>,
+}
+
+/// What was found for a request.
+#[derive(Default)]
+struct Found {
+    /// By candidate.
+    batch: Vec<(usize, Outgoing)>,
+    /// Tasks without a place.
+    left: u64,
+    /// There was room on machines whose records no change could be spent on.
+    changes_spent: bool,
+}
+
+impl Found {
+    fn tasks(&self) -> usize {
+        self.batch.iter().map(|(_, o)| o.allotment.runs.len()).sum()
+    }
+}
+
+/// What a pass starts from.
+pub(super) struct Inputs<'a> {
+    pub now: Time,
+    pub wall: Wall,
+    pub config: &'a Config,
+    pub replica: &'a Replica,
+    pub faults: &'a Faults,
+    pub within: &'a BTreeSet<JobId>,
+    /// The tasks that were allotted in earlier passes and are not on record.
+    pub allotted: AllottedTasks<'a>,
+    /// Room that only replicas may take, by candidate.
+    pub reserve: Vec<Amounts>,
+    /// The candidates whose records are to be written anyway: placing there costs no further
+    /// change.
+    pub written: Vec<bool>,
+}
+
+/// What a pass changes of the scheduler's state.
+pub(super) struct State<'a> {
+    pub gangs: &'a mut Gangs,
+    pub attempts: &'a mut Attempts,
+    /// What arrays may cost in changes of machines' records.
+    pub records: &'a mut Bucket,
+    /// Services for which a place with their image is being made.
+    pub awaiting: &'a mut BTreeMap<JobId, Time>,
+}
+
+pub(super) struct Pass<'a> {
+    input: Inputs<'a>,
+    state: State<'a>,
+    pub accounts: Accounts<'a>,
+    pub candidates: Vec<Candidate<'a>>,
+    /// The candidates with room for arrays. Most machines are full most of the time.
+    roomy: Vec<usize>,
+    /// CPUs free for arrays on machines whose records nothing can be spent on in this pass.
+    unwritten: u64,
+    /// The tasks that each job was given on machines that have its image.
+    given: BTreeMap<&'a JobId, usize>,
+    pub shortages: Vec<Shortage>,
+    /// Replicas for which lower work is to make room where their image is.
+    pub quick: Vec<Shortage>,
+    pub allotments: Vec<Outgoing>,
+}
+
+impl<'a> Pass<'a> {
+    pub fn new(
+        input: Inputs<'a>,
+        state: State<'a>,
+        accounts: Accounts<'a>,
+        candidates: Vec<Candidate<'a>>,
+    ) -> Self {
+        let roomy = (0..candidates.len()).collect();
+        let mut pass = Self {
+            input,
+            state,
+            accounts,
+            candidates,
+            roomy,
+            unwritten: 0,
+            given: BTreeMap::new(),
+            shortages: Vec::new(),
+            quick: Vec::new(),
+            allotments: Vec::new(),
+        };
+        pass.drop_full();
+        pass
+    }
+
+    /// Gives every waiting job its turn.
+    pub fn run(&mut self) {
+        for turn in self.turns() {
+            self.serve(turn);
+        }
+    }
+
+    /// Jobs that lack tasks, in the order in which they are served.
+    fn waiting(&self) -> Vec<(&'a JobId, &'a LiveJob)> {
+        let input = &self.input;
+        let lacks = |job: &LiveJob| job.done_count() + (job.placed.len() as u32) < job.spec.tasks;
+        let mut waiting: Vec<(&JobId, &LiveJob)> = input
+            .replica
+            .jobs
+            .iter()
+            .filter(|(id, job)| !input.faults.paused(input.now, id) && lacks(job))
+            .collect();
+        waiting.sort_by_cached_key(|(id, job)| rank(id, job, input.within.contains(*id)));
+        oldest_first(&mut waiting, input.wall);
+        waiting
+    }
+
+    /// Where more waits than there is room for, each place goes to the first in the order whose
+    /// image is there; what is left goes to whoever is first. On a full fleet a third of all
+    /// tasks fetched images for a third of their own time (Tramite fleet, busy).
+    fn turns(&self) -> Vec<Turn<'a>> {
+        let waiting = self.waiting();
+        let covered = image_rooms(&self.candidates);
+        let rates = self.candidates.iter().map(|c| c.fetch_gb_per_s);
+        let slowest = rates.fold(f64::INFINITY, f64::min);
+        let turn = |(id, job): &(&'a JobId, &'a LiveJob), cached_only| Turn {
+            id,
+            job,
+            cached_only,
+        };
+        let patient = |job: &LiveJob| self.is_patient(job, &covered, slowest);
+        let first = waiting.iter().map(|w| turn(w, patient(w.1)));
+        let second = waiting.iter().filter(|w| patient(w.1));
+        first.chain(second.map(|w| turn(w, false))).collect()
+    }
+
+    /// Whether a job may wait for places where its image is: an array, wherever it may run, for
+    /// whose image there are enough of them, and which has not waited for its first task for long.
+    fn is_patient(
+        &self,
+        job: &LiveJob,
+        covered: &BTreeMap<&str, u64>,
+        slowest_gb_per_s: f64,
+    ) -> bool {
+        let spec = &job.spec;
+        let time = job.plan.as_ref().map_or(spec.estimate_s, |p| p.predicted_s);
+        let fetch = spec.image_gb / slowest_gb_per_s;
+        let left = spec.tasks.saturating_sub(job.done_count());
+        let room = covered.get(spec.image.as_str()).copied().unwrap_or(0);
+        let begun = !job.placed.is_empty() || job.done_count() > 0;
+        let age = Span(self.input.wall.0.saturating_sub(job.accepted.0));
+        spec.kind == Kind::Array
+            && fetch >= FETCH_PART * time
+            && !spec.one_zone
+            && !spec.spread
+            && room >= 2 * spec.need().cpus * u64::from(left)
+            && (begun || age < PATIENT)
+    }
+
+    fn serve(&mut self, turn: Turn<'a>) {
+        if turn.cached_only && self.roomy.is_empty() {
+            return;
+        }
+        let request = match turn.kind() {
+            Kind::Gang => self.gang_request(turn),
+            Kind::Array | Kind::Service => self.tasks_request(turn),
+        };
+        let Some(request) = request.filter(|r| !r.open.is_empty()) else {
+            return;
+        };
+        let zones = ZoneRule::new(
+            turn.job,
+            self.input.allotted.get(turn.id),
+            self.input.replica,
+        );
+        let order = self.order(turn, &request, &zones);
+        if turn.kind() == Kind::Service && self.waits_for_image(turn, &request, &order) {
+            return;
+        }
+        let found = self.fill(turn, &request, &order, zones);
+        self.settle(turn, &request, found);
+    }
+
+    /// The tasks of a job that were allotted, in this pass or before, and are not on record.
+    fn allotted_count(&self, turn: Turn<'a>) -> usize {
+        let before = self.input.allotted.get(turn.id).map_or(0, BTreeMap::len);
+        before + self.given.get(turn.id).copied().unwrap_or(0)
+    }
+
+    /// All of a gang's tasks, or what one that has not started yet has lost.
+    fn gang_request(&mut self, turn: Turn<'a>) -> Option<Request> {
+        let room = self.accounts.allows(&turn.job.spec.team, turn.need());
+        let open = missing(turn.job, self.input.allotted.get(turn.id));
+        let (now, wait) = (self.input.now, self.input.config.gang_wait);
+        let allotted = self.allotted_count(turn);
+        let next = self
+            .state
+            .gangs
+            .next(now, turn.id, turn.job, allotted, wait);
+        if next == Next::Wait || open.len() as u64 > room {
+            return None;
+        }
+        let attempt = match next {
+            Next::Replace(attempt) => attempt,
+            Next::Whole | Next::Wait => self.state.attempts.next(),
+        };
+        Some(Request {
+            open,
+            attempt: Some(attempt),
+        })
+    }
+
+    /// As many tasks of an array or a service as the team's limit allows.
+    fn tasks_request(&mut self, turn: Turn<'a>) -> Option<Request> {
+        let Turn { id, job, .. } = turn;
+        let room = self.accounts.allows(&job.spec.team, turn.need());
+        let mut allowed = room.min(BATCH as u64) as usize;
+        let going = self.allotted_count(turn);
+        if let Some(trial) = self.input.faults.trial(id) {
+            allowed = allowed.min(trial.saturating_sub(job.placed.len() + going));
+        }
+        if turn.kind() == Kind::Array && self.roomy.is_empty() {
+            let ended = job.done_count() as usize + job.placed.len() + going;
+            let left = (job.spec.tasks as usize).saturating_sub(ended).min(allowed);
+            self.report_shortage(turn, left as u64);
+            return None;
+        }
+        let already = self.input.allotted.get(id);
+        let just_now = self.given.get(id).copied().unwrap_or(0);
+        let open = job
+            .open_tasks(self.input.config.segment_tasks())
+            .filter(|i| already.is_none_or(|a| !a.contains_key(i)))
+            .skip(just_now)
+            .take(allowed);
+        Some(Request {
+            open: open.collect(),
+            attempt: None,
+        })
+    }
+
+    /// Notes tasks for which there is no room. What only waits for its machine's record to be
+    /// written lacks no machine.
+    fn report_shortage(&mut self, turn: Turn<'a>, left: u64) {
+        let cpus = turn.need().cpus;
+        let waits = left.min(self.unwritten / cpus.max(1));
+        self.unwritten -= waits * cpus;
+        if left > waits {
+            let short = Shortage::of(turn.id, turn.job, left - waits);
+            self.shortages.push(short);
+        }
+    }
+
+    /// The machines for a request, best first.
+    fn order(&mut self, turn: Turn<'a>, request: &Request, zones: &ZoneRule) -> Vec<usize> {
+        let now = self.input.now;
+        let array = turn.kind() == Kind::Array;
+        let tasks = request.open.len();
+        let scarce = self.state.records.part(now) < PLENTY
+            || tasks as f64 > 0.5 * self.state.records.level(now);
+        let reserved = turn.kind() != Kind::Service;
+        let search = Search {
+            most: (scarce && array).then_some(tasks as u64),
+            among: array.then_some(self.roomy.as_slice()),
+            reserve: reserved.then_some(self.input.reserve.as_slice()),
+            cached_only: turn.cached_only,
+        };
+        let faults = self.input.faults;
+        search.order(turn.id, turn.job, zones, faults, &self.candidates)
+    }
+
+    /// A replica that would have to fetch its image rather takes the place of lower work where
+    /// the image is, and waits a moment for that.
+    fn waits_for_image(&mut self, turn: Turn<'a>, request: &Request, order: &[usize]) -> bool {
+        let Turn { id, job, .. } = turn;
+        let spec = &job.spec;
+        let best = order.first().map(|at| &self.candidates[*at]);
+        if best.is_none_or(|c| c.fetch_seconds(spec) <= QUICK) {
+            return false;
+        }
+        let now = self.input.now;
+        let asked = self.state.awaiting.get(id).copied();
+        if let Some(at) = asked {
+            return now.since(at) < AWAIT;
+        }
+        let replica = self.input.replica;
+        let lower = |run: &Run, _: &PlacedJob| {
+            let victim = replica.jobs.get(&run.task.job)?.spec.priority;
+            (victim < spec.priority).then_some(victim)
+        };
+        let place = self
+            .candidates
+            .iter()
+            .filter(|c| c.has_image(spec))
+            .any(|c| victims(c, spec, replica, lower).is_some());
+        if place {
+            self.state.awaiting.insert(id.clone(), now);
+            self.quick.push(Shortage {
+                cached_only: true,
+                ..Shortage::of(id, job, request.open.len() as u64)
+            });
+        }
+        place
+    }
+
+    /// Takes room on the machines of an order until all tasks have theirs.
+    fn fill(
+        &mut self,
+        turn: Turn<'a>,
+        request: &Request,
+        order: &[usize],
+        mut zones: ZoneRule,
+    ) -> Found {
+        let mut open = request.open.iter().copied().peekable();
+        let mut found = Found::default();
+        for (rank, at) in order.iter().copied().enumerate() {
+            if !self.may_change_record(turn, at) {
+                found.changes_spent = true;
+                continue;
+            }
+            let mut tasks = Vec::new();
+            while open.peek().is_some() && self.takes_one(turn, at, &mut zones) {
+                tasks.extend(open.next());
+            }
+            if tasks.is_empty() {
+                continue;
+            }
+            let alone = zones.binds();
+            let choices = choices(
+                &self.candidates[at],
+                &order[rank..],
+                &self.candidates,
+                alone,
+            );
+            let outgoing = self.outgoing(turn, at, tasks, request.attempt, choices);
+            found.batch.push((at, outgoing));
+            if open.peek().is_none() {
+                break;
+            }
+        }
+        found.left = open.count() as u64;
+        found
+    }
+
+    /// Whether a change of a machine's record can be spent, for an array. What must run at once
+    /// is never held back for that.
+    fn may_change_record(&mut self, turn: Turn<'a>, at: usize) -> bool {
+        if turn.kind() != Kind::Array || self.input.written[at] {
+            return true;
+        }
+        let taken = self
+            .state
+            .records
+            .try_take(self.input.now, 1.0, Class::Place);
+        self.input.written[at] |= taken;
+        taken
+    }
+
+    /// Takes room for one more task on a machine, if it is there and the job's zones allow it.
+    fn takes_one(&mut self, turn: Turn<'a>, at: usize, zones: &mut ZoneRule) -> bool {
+        let held = match turn.kind() {
+            Kind::Service => Amounts::default(),
+            Kind::Array | Kind::Gang => self.input.reserve[at],
+        };
+        let need = turn.need();
+        let candidate = &mut self.candidates[at];
+        let takes = need.fits(candidate.free - held) && zones.admits(candidate.zone);
+        if takes {
+            zones.add(candidate.zone);
+            candidate.free = candidate.free - need;
+        }
+        takes
+    }
+
+    fn outgoing(
+        &mut self,
+        turn: Turn<'a>,
+        at: usize,
+        tasks: Vec<u32>,
+        fixed: Option<Attempt>,
+        preferred: Vec<MachineId>,
+    ) -> Outgoing {
+        let Turn { id, job, .. } = turn;
+        let spec = &job.spec;
+        let candidate = &self.candidates[at];
+        let age_ms = self.input.wall.0.saturating_sub(job.accepted.0);
+        tracing::debug!(job = %id, machine = %candidate.id, tasks = tasks.len(), image = %spec.image, cached = candidate.has_image(spec), age_ms, "allotted");
+        let attempts = &mut self.state.attempts;
+        let runs = tasks.into_iter().map(|index| Run {
+            task: TaskId {
+                job: id.clone(),
+                index,
+            },
+            attempt: fixed.unwrap_or_else(|| attempts.next()),
+        });
+        Outgoing {
+            holder: candidate.holder.clone(),
+            machine: candidate.id.clone(),
+            team: spec.team.clone(),
+            need: spec.need(),
+            allotment: Allotment {
+                block: candidate.block,
+                fence: candidate.fence,
+                job_revision: job.revision,
+                runs: runs.collect(),
+                preferred,
+            },
+        }
+    }
+
+    /// Books what was found for a job, and what was not.
+    fn settle(&mut self, turn: Turn<'a>, request: &Request, found: Found) {
+        let Turn { id, job, .. } = turn;
+        if found.changes_spent {
+            self.keep_written();
+        }
+        if turn.cached_only {
+            self.given.insert(id, found.tasks());
+        } else {
+            self.report_shortage(turn, found.left);
+        }
+        if found.left > 0 && turn.kind() == Kind::Gang {
+            self.give_back(turn, found);
+            return;
+        }
+        if turn.kind() == Kind::Array && !found.batch.is_empty() {
+            self.drop_full();
+        }
+        if let Some(attempt) = request.attempt
+            && job.placed.is_empty()
+        {
+            self.state.gangs.launched(self.input.now, id, attempt);
+        }
+        for (_, outgoing) in found.batch {
+            let count = outgoing.allotment.runs.len() as u64;
+            self.accounts
+                .charge(&job.spec.team, turn.need().times(count));
+            self.allotments.push(outgoing);
+        }
+    }
+
+    /// All or none: what was found for a part of a gang goes back.
+    fn give_back(&mut self, turn: Turn<'a>, found: Found) {
+        for (at, outgoing) in found.batch {
+            let count = outgoing.allotment.runs.len() as u64;
+            let free = self.candidates[at].free;
+            self.candidates[at].free = free + turn.need().times(count);
+        }
+    }
+
+    /// Without a change to spend only those machines will do whose records are written anyway.
+    fn keep_written(&mut self) {
+        let roomy = std::mem::take(&mut self.roomy);
+        let (kept, waiting): (Vec<_>, Vec<_>) =
+            roomy.into_iter().partition(|at| self.input.written[*at]);
+        self.roomy = kept;
+        self.unwritten += waiting
+            .iter()
+            .map(|at| self.room_for_arrays(*at))
+            .sum::<u64>();
+    }
+
+    fn drop_full(&mut self) {
+        let mut roomy = std::mem::take(&mut self.roomy);
+        roomy.retain(|at| self.room_for_arrays(*at) > 0);
+        self.roomy = roomy;
+    }
+
+    /// The CPUs of a machine that arrays may take.
+    fn room_for_arrays(&self, at: usize) -> u64 {
+        (self.candidates[at].free - self.input.reserve[at]).cpus
+    }
+}
--- /dev/null
+++ b/src/placement/preference.rs
@@ -0,0 +1,117 @@
+//! Which machines a job would rather have.
+
+use super::candidates::Candidate;
+use super::faults::Faults;
+use super::zone_rule::ZoneRule;
+use crate::ids::{Amounts, JobId, MachineId};
+use crate::store::replica::LiveJob;
+use crate::wire::Kind;
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+
+/// Steps in which the number of tasks that a machine takes at once counts.
+const TOGETHER: u64 = 4;
+/// Machines of a block that its holder may choose from.
+const CHOICES: usize = 6;
+
+/// Where, and how, a job looks for room.
+pub(super) struct Search<'a> {
+    /// How many tasks it has, while each machine that is used costs a change that is scarce.
+    pub most: Option<u64>,
+    pub among: Option<&'a [usize]>,
+    /// Room that is kept from it, by candidate.
+    pub reserve: Option<&'a [Amounts]>,
+    /// Only where nothing has to be fetched.
+    pub cached_only: bool,
+}
+
+impl Search<'_> {
+    fn free(&self, candidates: &[Candidate<'_>], at: usize) -> Amounts {
+        match self.reserve {
+            Some(reserve) => candidates[at].free - reserve[at],
+            None => candidates[at].free,
+        }
+    }
+
+    /// The machines that a job may use, best first: its placement group, then those that have
+    /// its image, then the fullest, so that others empty and can be returned. While changes are
+    /// scarce, those that take most of its tasks at once.
+    pub fn order(
+        &self,
+        id: &JobId,
+        job: &LiveJob,
+        zones: &ZoneRule,
+        faults: &Faults,
+        candidates: &[Candidate<'_>],
+    ) -> Vec<usize> {
+        let spec = &job.spec;
+        let need = spec.need();
+        let group: BTreeSet<&MachineId> = job.plan.iter().flat_map(|p| p.machines.iter()).collect();
+        let free = |at: usize| self.free(candidates, at);
+        let zone = zones.choose(spec, candidates, free);
+        let fits = |at: usize, c: &Candidate<'_>| {
+            need.fits(free(at))
+                && (!self.cached_only || c.has_image(spec))
+                && c.is_allowed(spec)
+                && !faults.failed_on(id, c.id)
+                && zone.as_ref().is_none_or(|z| z == c.zone)
+        };
+        let key = |at: usize, c: &Candidate<'_>| {
+            // A few tasks more or less don't outweigh an image that has to be fetched.
+            let together = self
+                .most
+                .map(|n| Reverse(need.count_in(free(at)).min(n) / TOGETHER));
+            // Replicas gather on few machines, so that the others can empty.
+            let company = match spec.kind {
+                Kind::Service => Reverse(c.replicas),
+                _ => Reverse(0),
+            };
+            (
+                together,
+                // Whole seconds, so that small differences don't scatter the work.
+                c.fetch_seconds(spec).ceil() as u64,
+                company,
+                // Work that may be lost goes to cheap machines.
+                !c.spot,
+                !group.contains(c.id),
+                c.free.cpus,
+            )
+        };
+        let all: Vec<usize>;
+        let among = match self.among {
+            Some(among) => among,
+            None => {
+                all = (0..candidates.len()).collect();
+                &all
+            }
+        };
+        let mut order: Vec<(_, usize)> = among
+            .iter()
+            .map(|at| (*at, &candidates[*at]))
+            .filter(|(at, c)| fits(*at, c))
+            .map(|(at, c)| (key(at, c), at))
+            .collect();
+        order.sort();
+        order.into_iter().map(|(_, at)| at).collect()
+    }
+}
+
+/// The machines among which the holder of a candidate's block chooses: the candidate first, then
+/// the block's others in the job's order. Where the job's zones depend on one another, only the
+/// leader sees them all, and the candidate stands alone.
+pub(super) fn choices(
+    candidate: &Candidate<'_>,
+    listed: &[usize],
+    candidates: &[Candidate<'_>],
+    alone: bool,
+) -> Vec<MachineId> {
+    let others = listed
+        .iter()
+        .map(|at| &candidates[*at])
+        .filter(|c| !alone && c.block == candidate.block && c.id != candidate.id)
+        .map(|c| c.id.clone());
+    std::iter::once(candidate.id.clone())
+        .chain(others)
+        .take(CHOICES)
+        .collect()
+}
--- /dev/null
+++ b/src/placement/shortage.rs
@@ -0,0 +1,36 @@
+//! What found no room: the input for renting and for preemption.
+
+use crate::ids::{Amounts, JobId};
+use crate::store::replica::LiveJob;
+use crate::wire::{Kind, Priority};
+
+/// Tasks for which no machine has room.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shortage {
+    pub job: JobId,
+    /// What each of the tasks takes.
+    pub need: Amounts,
+    pub tasks: u64,
+    /// The predicted run time of one task.
+    pub seconds: f64,
+    pub priority: Priority,
+    /// All tasks at the same time: a service or a gang.
+    pub together: bool,
+    /// Only a machine that has the image will do.
+    pub cached_only: bool,
+}
+
+impl Shortage {
+    pub(super) fn of(id: &JobId, job: &LiveJob, tasks: u64) -> Self {
+        let spec = &job.spec;
+        Self {
+            job: id.clone(),
+            need: spec.need(),
+            tasks,
+            seconds: job.plan.as_ref().map_or(spec.estimate_s, |p| p.predicted_s),
+            priority: spec.priority,
+            together: spec.kind != Kind::Array,
+            cached_only: false,
+        }
+    }
+}
