--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -135,7 +135,7 @@
 }
 
 pub(super) struct Pass<'a> {
-    input: Inputs<'a>,
+    pub input: Inputs<'a>,
     state: State<'a>,
     pub accounts: Accounts<'a>,
     pub candidates: Vec<Candidate<'a>>,
@@ -373,7 +373,7 @@
             .candidates
             .iter()
             .filter(|c| c.has_image(spec))
-            .any(|c| victims(c, spec, replica, lower).is_some());
+            .any(|c| victims(c, spec, Amounts::default(), 1, replica, lower).is_some());
         if place {
             self.state.awaiting.insert(id.clone(), now);
             self.quick.push(Shortage {
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -15,6 +15,8 @@
 
 /// Looks at all machines for room in one pass.
 const LOOKS: usize = 24;
+/// Tasks of one job for which room is made in one pass.
+const MOST_AT_ONCE: u64 = 64;
 /// A job within a guarantee that has waited so long stands behind work that does not end.
 const STALLED: Span = Span(120_000);
 
@@ -27,6 +29,8 @@
     pub config: &'a Config,
     pub replica: &'a Replica,
     pub candidates: &'a [Candidate<'a>],
+    /// Room that only replicas may take, by candidate.
+    pub reserve: &'a [Amounts],
     pub accounts: &'a Accounts<'a>,
     /// Jobs within their team's guarantee.
     pub within: &'a BTreeSet<JobId>,
@@ -114,20 +118,23 @@
             if !borrowed && lowest.is_none_or(|p| p >= spec.priority) {
                 continue;
             }
-            for _ in 0..shortage.tasks.min(16) {
+            // Room that is about to come free needs no look at the machines.
+            let covered = tasks_in(shortage.need, coming).min(shortage.tasks);
+            coming = coming - shortage.need.times(covered);
+            let mut left = (shortage.tasks - covered).min(MOST_AT_ONCE);
+            while left > 0 {
                 if looks == 0 {
                     return stops;
                 }
                 looks -= 1;
-                if shortage.need.fits(coming) && coming.cpus > 0 {
-                    coming = coming - shortage.need;
-                    continue;
-                }
-                let Some((machine, chosen)) = self.cheapest_room(shortage, spec, guaranteed, &gone)
-                else {
+                // Tasks of arrays are small and many: one look makes room for several.
+                let at_once = if spec.kind == Kind::Array { left } else { 1 };
+                let best = self.cheapest_room(shortage, spec, at_once, guaranteed, &gone);
+                let Some((machine, victims)) = best else {
                     break;
                 };
-                for run in chosen {
+                left -= victims.tasks;
+                for run in victims.runs {
                     self.stop_whole(&run, machine, &mut gone, &mut stops);
                 }
             }
@@ -148,14 +155,16 @@
         placed.map(|j| j.spec.priority).min()
     }
 
-    /// The machine where room for one more task costs the least, and what is to be stopped there.
+    /// The machine where room for a task costs the least, and what is to be stopped there for as
+    /// many of `tasks` as fit.
     fn cheapest_room(
         &self,
         shortage: &Shortage,
         spec: &JobSpec,
+        tasks: u64,
         guaranteed: bool,
         gone: &BTreeSet<Run>,
-    ) -> Option<(&MachineId, Vec<Run>)> {
+    ) -> Option<(&MachineId, Victims)> {
         let fair = |run: &Run, placed: &PlacedJob| {
             let victim = &self.replica.jobs.get(&run.task.job)?.spec;
             let over = guaranteed
@@ -169,14 +178,20 @@
         let best = self
             .candidates
             .iter()
-            .filter(|c| !(shortage.cached_only || guaranteed) || c.has_image(spec))
-            .filter_map(|c| {
-                let (cost, chosen) = victims(c, spec, self.replica, fair)?;
+            .zip(self.reserve)
+            .filter(|(c, _)| !(shortage.cached_only || guaranteed) || c.has_image(spec))
+            .filter_map(|(c, reserve)| {
+                let kept = match spec.kind {
+                    Kind::Service => Amounts::default(),
+                    Kind::Array | Kind::Gang => *reserve,
+                };
+                let victims = victims(c, spec, kept, tasks, self.replica, fair)?;
                 // Where the image is, the start is at once.
-                Some(((!c.has_image(spec), cost), c.id, chosen))
+                let cost = (!c.has_image(spec), victims.cpus / victims.tasks);
+                Some((cost, c.id, victims))
             })
             .min_by(|a, b| a.0.cmp(&b.0));
-        best.map(|(_, machine, chosen)| (machine, chosen))
+        best.map(|(_, machine, victims)| (machine, victims))
     }
 
     /// Whether room is made for a job within a guarantee that has waited so long: while a start
@@ -218,14 +233,26 @@
     }
 }
 
-/// The tasks to stop on a machine so that one more of a job fits, those that have done the least
-/// first, and what they use. `fair` gives the priority of what may be stopped.
+/// Tasks to stop on one machine.
+pub(super) struct Victims {
+    /// The CPUs that they use.
+    cpus: u64,
+    /// How many tasks of the waiting job they make room for: at least one.
+    tasks: u64,
+    runs: Vec<Run>,
+}
+
+/// The tasks to stop on a machine so that up to `tasks` more of a job fit beside the room that is
+/// `kept` from it, those that have done the least first. `fair` gives the priority of what may be
+/// stopped.
 pub(super) fn victims(
     candidate: &Candidate<'_>,
     spec: &JobSpec,
+    kept: Amounts,
+    tasks: u64,
     replica: &Replica,
     fair: impl Fn(&Run, &PlacedJob) -> Option<Priority>,
-) -> Option<(u64, Vec<Run>)> {
+) -> Option<Victims> {
     let need = spec.need();
     if !candidate.is_allowed(spec) || !need.fits(candidate.room) {
         return None;
@@ -237,14 +264,36 @@
         .filter_map(|(run, placed)| Some((fair(&run, placed)?, run, placed.need)))
         .collect();
     list.sort_by_key(|(p, run, _)| (*p, Reverse(run.attempt)));
-    let (mut free, mut cost, mut chosen) = (candidate.free, 0, Vec::new());
+    let (mut free, mut chosen) = (candidate.free, Vec::new());
     for (_, run, size) in list {
-        if need.fits(free) {
+        if need.count_in(free - kept) >= tasks {
             break;
         }
         free = free + size;
-        cost += size.cpus;
-        chosen.push(run);
+        chosen.push((run, size));
+    }
+    let fit = need.count_in(free - kept).min(tasks);
+    // The last ones may have made room for nothing more.
+    while let Some((_, size)) = chosen.last()
+        && need.count_in(free - *size - kept) >= fit
+        && fit > 0
+    {
+        free = free - *size;
+        chosen.pop();
+    }
+    let victims = Victims {
+        cpus: chosen.iter().map(|(_, size)| size.cpus).sum(),
+        tasks: fit,
+        runs: chosen.into_iter().map(|(run, _)| run).collect(),
+    };
+    (fit > 0 && !victims.runs.is_empty()).then_some(victims)
+}
+
+/// How many tasks of a need fit into room that comes free; none if none does.
+fn tasks_in(need: Amounts, room: Amounts) -> u64 {
+    if room.cpus > 0 {
+        need.count_in(room)
+    } else {
+        0
     }
-    (need.fits(free) && !chosen.is_empty()).then_some((cost, chosen))
 }
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -177,6 +177,7 @@
             config: &config,
             replica,
             candidates: &pass.candidates,
+            reserve: &pass.input.reserve,
             accounts: &pass.accounts,
             within: &within,
             preempted: &self.preempted,
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -3,7 +3,9 @@
 use super::{Effect, Scheduler};
 use crate::config::Config;
 use crate::config::tests::sample_config;
-use crate::ids::{Attempt, BlockId, JobId, MachineId, Revision, Run, Span, TaskId, Time, Wall};
+use crate::ids::{
+    Amounts, Attempt, BlockId, JobId, MachineId, Revision, Run, Span, TaskId, Time, Wall,
+};
 use crate::peers::{Allotment, MachineHealth, Message};
 use crate::store::keys;
 use crate::store::records::{BlockRecord, JobRecord, MachineRecord};
@@ -15,6 +17,8 @@
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 
+mod preemption;
+
 struct Scene {
     config: Config,
     replica: Replica,
