--- a/src/cloud/demand.rs
+++ b/src/cloud/demand.rs
@@ -5,7 +5,7 @@
 use crate::ids::Wall;
 use crate::placement::service_order;
 use crate::store::replica::{LiveJob, Replica};
-use crate::wire::Kind;
+use crate::wire::{JobSpec, Kind};
 
 /// CPUs, in thousandths.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -93,6 +93,14 @@
         + 0.5 * spec.image_gb / fetch
 }
 
+/// How long after its acceptance an array is due: by its deadline, else by the operators'
+/// objective for its pipeline. Without either there is no hurry, but an end.
+fn due_s(spec: &JobSpec, task: f64, config: &Config) -> f64 {
+    let objective = config.finish_within.get(&spec.pipeline).map(|s| s.secs());
+    let due = spec.deadline_s.or(objective);
+    due.unwrap_or(4.0 * task + 60.0)
+}
+
 /// The load, and the batches that it is made of.
 pub fn load(wall: Wall, replica: &Replica, config: &Config) -> (Load, Vec<Batch>) {
     let mut load = Load::default();
@@ -111,8 +119,7 @@
         let task = task_time(job, replica);
         let width = need.cpus.saturating_mul(left.into()).min(limit) as f64;
         let age = wall.0.saturating_sub(job.accepted.0) as f64 / 1000.0;
-        // Without a deadline there is no hurry, but an end.
-        let due = spec.deadline_s.unwrap_or(4.0 * task + 60.0) - age;
+        let due = due_s(spec, task, config) - age;
         let cpus = need.cpus as f64;
         // What runs holds its place whatever comes first; on average half of it is left.
         busy += 0.5 * f64::from(running) * cpus * task;
@@ -134,42 +141,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-
-    prop_compose! {
-        fn batch()(due in 20.0..300.0f64, tasks in 1u32..60, task in 5.0..60.0f64) -> Batch {
-            let width = f64::from(tasks) * 4.0;
-            Batch { due: due.max(2.5 * task), width, task, work: width * task }
-        }
-    }
-
-    /// Serves batches in their order, task by task, on a number of slots of 4 CPUs; returns
-    /// the largest lateness as a part of a task.
-    fn worst_lateness(batches: &[Batch], cpus: f64) -> f64 {
-        let mut slots = vec![0.0f64; (cpus / 4.0).ceil().max(1.0) as usize];
-        let mut worst = f64::NEG_INFINITY;
-        for batch in batches {
-            let mut end = 0.0f64;
-            for _ in 0..(batch.width / 4.0) as u32 {
-                slots.sort_by(f64::total_cmp);
-                slots[0] += batch.task;
-                end = end.max(slots[0]);
-            }
-            worst = worst.max((end - batch.due) / batch.task);
-        }
-        worst
-    }
-
-    proptest! {
-        #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(31), failure_persistence: None, ..ProptestConfig::default() })]
-        #[test]
-        fn what_is_required_is_enough_and_far_less_is_not(batches in proptest::collection::vec(batch(), 1..8)) {
-            let cpus = required(&batches);
-            prop_assert!(worst_lateness(&batches, cpus) <= 1.0);
-            let width: f64 = batches.iter().map(|b| b.width).sum();
-            prop_assert!(cpus <= width + 1.0);
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/cloud/demand/tests.rs
@@ -0,0 +1,77 @@
+use super::*;
+use crate::config::tests::sample_config;
+use crate::ids::Span;
+use crate::store::keys;
+use crate::store::records::JobRecord;
+use crate::wire::state::Item;
+use proptest::prelude::*;
+
+prop_compose! {
+    fn batch()(due in 20.0..300.0f64, tasks in 1u32..60, task in 5.0..60.0f64) -> Batch {
+        let width = f64::from(tasks) * 4.0;
+        Batch { due: due.max(2.5 * task), width, task, work: width * task }
+    }
+}
+
+/// Serves batches in their order, task by task, on a number of slots of 4 CPUs; returns
+/// the largest lateness as a part of a task.
+fn worst_lateness(batches: &[Batch], cpus: f64) -> f64 {
+    let mut slots = vec![0.0f64; (cpus / 4.0).ceil().max(1.0) as usize];
+    let mut worst = f64::NEG_INFINITY;
+    for batch in batches {
+        let mut end = 0.0f64;
+        for _ in 0..(batch.width / 4.0) as u32 {
+            slots.sort_by(f64::total_cmp);
+            slots[0] += batch.task;
+            end = end.max(slots[0]);
+        }
+        worst = worst.max((end - batch.due) / batch.task);
+    }
+    worst
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(31), failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn what_is_required_is_enough_and_far_less_is_not(batches in proptest::collection::vec(batch(), 1..8)) {
+        let cpus = required(&batches);
+        prop_assert!(worst_lateness(&batches, cpus) <= 1.0);
+        let width: f64 = batches.iter().map(|b| b.width).sum();
+        prop_assert!(cpus <= width + 1.0);
+    }
+}
+
+/// The load of one array, accepted just now.
+fn load_of(deadline_s: Option<f64>, objective: Option<Span>) -> u64 {
+    let mut config = sample_config();
+    let mut spec = crate::wire::tests::spec("job-000001");
+    spec.tasks = 40;
+    spec.estimate_s = 20.0;
+    spec.deadline_s = deadline_s;
+    let objective = objective.map(|within| (spec.pipeline.clone(), within));
+    config.finish_within.extend(objective);
+    let accepted = Wall(1_000_000);
+    let record = JobRecord { spec, accepted };
+    let mut replica = Replica::new(&config);
+    replica.load(Item {
+        key: keys::job(&record.spec.id),
+        value: serde_json::to_value(&record).expect("json"),
+        revision: crate::ids::Revision(5),
+        grant: None,
+    });
+    load(accepted, &replica, &config).0.arrays
+}
+
+/// Arrays without deadlines asked for nothing more than was there, while half of them missed what
+/// their operators want (Altamaha dredging: the fleet grew from second 60 on only).
+#[test]
+fn an_array_without_a_deadline_is_due_by_the_operators_objective() {
+    let (soon, late) = (Span(60_000), Span(400_000));
+    assert!(load_of(None, Some(soon)) > load_of(None, None));
+    assert!(load_of(None, Some(late)) < load_of(None, None));
+    assert_eq!(
+        load_of(Some(200.0), Some(soon)),
+        load_of(Some(200.0), None),
+        "a deadline of its own comes first"
+    );
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -4,7 +4,7 @@
 
 pub use team::Team;
 
-use crate::ids::{Amounts, Member, Span, TeamId, Zone};
+use crate::ids::{Amounts, Member, Pipeline, Span, TeamId, Zone};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -46,6 +46,9 @@
     /// How long work within a guarantee waits before room is made for it: half of what the
     /// operators are held to.
     pub guarantee_patience: Span,
+    /// Within this time the operators want the jobs of a pipeline done: the shortest of their
+    /// objectives for it.
+    pub finish_within: BTreeMap<Pipeline, Span>,
     pub state_rps: f64,
     pub state_write_rps: f64,
     pub value_bytes: usize,
@@ -108,6 +111,7 @@
 #[derive(Deserialize)]
 struct FileObjective {
     kind: String,
+    class: Option<String>,
     within_s: Option<f64>,
 }
 
@@ -182,6 +186,20 @@
     }
 }
 
+/// The shortest time for each pipeline among the objectives that say when its jobs should be done.
+fn finish_within(objectives: &[FileObjective]) -> BTreeMap<Pipeline, Span> {
+    let mut shortest: BTreeMap<Pipeline, Span> = BTreeMap::new();
+    for objective in objectives.iter().filter(|o| o.kind == "finished") {
+        let (Some(class), Some(within_s)) = (&objective.class, objective.within_s) else {
+            continue;
+        };
+        let within = Span::from_secs(within_s);
+        let entry = shortest.entry(class.as_str().into()).or_insert(within);
+        *entry = within.min(*entry);
+    }
+    shortest
+}
+
 impl Config {
     pub fn load(path: &Path) -> Result<Self, Error> {
         let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
@@ -261,6 +279,7 @@
             teams,
             lease: Span::from_secs(positive("params.workers.lease_s", workers.lease_s)?),
             report: Span::from_secs(positive("params.workers.report_s", workers.report_s)?),
+            finish_within: finish_within(&params.objectives),
             guarantee_patience: Span::from_secs(within.unwrap_or(10.0) / 2.0),
             cancel: Span::from_secs(positive("params.workers.cancel_s", workers.cancel_s)?),
             gang_wait: Span::from_secs(positive(
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -72,3 +72,22 @@
         .to_string();
     assert!(message.contains("services"), "{message}");
 }
+
+#[test]
+fn jobs_are_due_by_the_shortest_objective_for_their_pipeline() {
+    let mut file = sample();
+    file["params"]["objectives"] = serde_json::json!([
+        {"kind": "finished", "class": "clean", "within_s": 150.0, "share": 0.98},
+        {"kind": "finished", "class": "clean", "within_s": 60.0, "share": 0.8},
+        {"kind": "finished", "class": "archive", "within_s": 400.0, "share": 0.9},
+        {"kind": "finished", "class": "nameless"},
+        {"kind": "wait", "class": "web", "within_s": 2.0, "share": 0.9},
+    ]);
+    let config = Config::parse(&file.to_string()).expect("valid");
+    let within: Vec<(&str, u64)> = config
+        .finish_within
+        .iter()
+        .map(|(pipeline, span)| (pipeline.as_str(), span.0))
+        .collect();
+    assert_eq!(within, [("archive", 400_000), ("clean", 60_000)]);
+}
