--- /dev/null
+++ b/src/cloud/fleet/rentals.rs
@@ -0,0 +1,283 @@
+//! What is rented: for what found no room, less what is already on its way.
+
+use super::*;
+
+const MOST_RENTED: u32 = 50;
+/// Rentals that wait for their answers at most.
+const MOST_PENDING: usize = 16;
+/// Past this many boot times a machine is not counted on.
+const BOOT_LATE: f64 = 2.0;
+
+/// A machine that is on its way, and the room on it that is not counted on yet.
+struct Coming {
+    type_name: TypeName,
+    zone: Zone,
+    spot: bool,
+    room: Amounts,
+}
+
+impl Fleet {
+    pub(super) fn rent(&mut self, now: Time, replica: &Replica, scheduler: &mut Scheduler) {
+        // What an earlier leader has just rented shows in the list only after its lag: until
+        // then a new one would rent it all again.
+        if now.since(self.term_since) < self.config.list_lag + Span(1500) {
+            return;
+        }
+        let stored = replica.catalog.as_ref().map(|c| &c.value);
+        let Some(catalog) = self.catalog.as_ref().or(stored).cloned() else {
+            return;
+        };
+        let mut coming = self.coming(now, &catalog, replica);
+        let mut lack = self.lack(&catalog, &coming);
+        if scheduler.shortages.iter().any(|s| s.together) || lack > 0 {
+            let mut wanted = lack.max(1);
+            self.stay(&mut wanted, replica, scheduler);
+            lack = lack.min(wanted);
+        }
+        tracing::debug!(load = ?self.load, capacity = self.capacity, on_the_way = cpus(&coming), lack, shortages = scheduler.shortages.len(), leaving = scheduler.leaving.len(), "fleet");
+        for shortage in self.wanted(&coming, replica, scheduler) {
+            let left = lacking_tasks(&shortage, &mut lack, &mut coming, replica);
+            if !self.rent_for(now, &shortage, left, &mut coming, &catalog, replica) {
+                return;
+            }
+        }
+    }
+
+    /// Machines that boot in time, and those that were asked for.
+    fn coming(&self, now: Time, catalog: &Catalog, replica: &Replica) -> Vec<Coming> {
+        let room = |name: &TypeName| {
+            let machine_type = catalog.types.iter().find(|t| t.name == *name);
+            machine_type.map(MachineType::room)
+        };
+        let mut coming = Vec::new();
+        for boot in self.booting.values() {
+            let late = BOOT_LATE * self.boot_time(&boot.type_name, replica);
+            let in_time = now.since(boot.rented) < Span::from_secs(late);
+            coming.extend(
+                room(&boot.type_name)
+                    .filter(|_| in_time)
+                    .map(|room| Coming {
+                        type_name: boot.type_name.clone(),
+                        zone: boot.zone.clone(),
+                        spot: boot.spot,
+                        room,
+                    }),
+            );
+        }
+        for request in self.rentals.iter().map(|r| &r.request) {
+            for _ in 0..request.count {
+                coming.extend(room(&request.type_name).map(|room| Coming {
+                    type_name: request.type_name.clone(),
+                    zone: request.zone.clone(),
+                    spot: request.spot,
+                    room,
+                }));
+            }
+        }
+        coming
+    }
+
+    /// The CPUs that arrays lack, by their deadlines and by what comes in.
+    fn lack(&self, catalog: &Catalog, coming: &[Coming]) -> u64 {
+        let boot = catalog.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
+        let capacity = (self.capacity + cpus(coming)).saturating_sub(self.load.services);
+        let lack = demand::lacking(&self.batches, capacity as f64, boot) as u64;
+        lack.max(self.flow.cpus(self.wall).saturating_sub(capacity))
+    }
+
+    /// The shortages to rent for. What must run all at once comes first: the rest shares what is
+    /// left.
+    fn wanted(&self, coming: &[Coming], replica: &Replica, scheduler: &Scheduler) -> Vec<Shortage> {
+        let mut shortages = scheduler.shortages.clone();
+        let steady_coming: u64 = coming.iter().filter(|c| !c.spot).map(|c| c.room.cpus).sum();
+        let steady = self.steady + steady_coming;
+        // The next replicas must not wait for a machine to boot.
+        if steady < self.load.services + self.spare && !shortages.iter().any(|s| s.together) {
+            let mut jobs = replica.jobs.iter();
+            let service = jobs.find(|(_, j)| j.spec.kind == Kind::Service);
+            shortages.extend(service.map(|(id, job)| Shortage {
+                job: id.clone(),
+                need: job.spec.need(),
+                tasks: 1,
+                seconds: 0.0,
+                priority: job.spec.priority,
+                together: true,
+                cached_only: false,
+            }));
+        }
+        shortages.sort_by_key(|s| !s.together);
+        merged(shortages, replica)
+    }
+
+    /// Asks for machines for so many tasks, of the cheapest kinds that the cloud may have.
+    /// `false`: no more may be asked for now.
+    fn rent_for(
+        &mut self,
+        now: Time,
+        shortage: &Shortage,
+        mut left: u64,
+        coming: &mut Vec<Coming>,
+        catalog: &Catalog,
+        replica: &Replica,
+    ) -> bool {
+        while left > 0 {
+            let Some((machine_type, zone, spot)) = self.cheapest(catalog, replica, shortage, left)
+            else {
+                break;
+            };
+            let per = shortage.need.count_in(machine_type.room()).max(1);
+            let count = left.div_ceil(per).min(MOST_RENTED.into()) as u32;
+            let covered = left.min(per * u64::from(count));
+            let last = covered - per * (u64::from(count) - 1);
+            left -= covered;
+            coming.push(Coming {
+                type_name: machine_type.name.clone(),
+                zone: zone.clone(),
+                spot,
+                room: machine_type.room() - shortage.need.times(last),
+            });
+            self.counter += 1;
+            let request = RentRequest {
+                // The term makes the name unique among all that ever led.
+                request: format!("r-{}-{}", self.term, self.counter),
+                type_name: machine_type.name.clone(),
+                zone,
+                spot,
+                count,
+            };
+            self.rentals.push(Rental {
+                request,
+                sent: false,
+                retry_at: now,
+                since: now,
+            });
+            if self.rentals.len() > MOST_PENDING {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// The type, zone and kind that does a shortage's work for the least, among those that the
+    /// cloud has not refused lately.
+    fn cheapest<'a>(
+        &self,
+        catalog: &'a Catalog,
+        replica: &Replica,
+        shortage: &Shortage,
+        left: u64,
+    ) -> Option<(&'a MachineType, Zone, bool)> {
+        let spec = &replica.jobs.get(&shortage.job)?.spec;
+        let mut best: Option<(f64, usize, &MachineType, Zone, bool)> = None;
+        for machine_type in &catalog.types {
+            let per = shortage.need.count_in(machine_type.room());
+            if per == 0 {
+                continue;
+            }
+            for zone in &machine_type.zones {
+                for spot in [true, false] {
+                    let kind = (machine_type.name.clone(), zone.clone(), spot);
+                    let pending = self.rentals.iter().any(|r| {
+                        (&r.request.type_name, &r.request.zone, r.request.spot)
+                            == (&kind.0, &kind.1, kind.2)
+                    });
+                    if !spec.allows(&kind.0, zone, spot)
+                        || self.no_capacity.contains_key(&kind)
+                        || pending
+                    {
+                        continue;
+                    }
+                    let price = if spot {
+                        machine_type.spot_price
+                    } else {
+                        machine_type.price
+                    };
+                    // Others will join a replica; a batch leaves with its last task.
+                    let tasks = if shortage.together { per } else { left };
+                    let cost = price * tasks.div_ceil(per) as f64 / tasks as f64;
+                    let here = replica
+                        .machines
+                        .values()
+                        .filter(|m| m.record.zone == *zone)
+                        .count();
+                    let better = best
+                        .as_ref()
+                        .is_none_or(|(c, n, ..)| (cost, here) < (*c, *n));
+                    if better {
+                        best = Some((cost, here, machine_type, zone.clone(), spot));
+                    }
+                }
+            }
+        }
+        best.map(|(_, _, t, zone, spot)| (t, zone, spot))
+    }
+}
+
+fn cpus(coming: &[Coming]) -> u64 {
+    coming.iter().map(|c| c.room.cpus).sum()
+}
+
+/// The tasks of a shortage for which machines are to be rented. Tasks of arrays follow one another:
+/// only what their deadlines ask for is. What is on its way serves first those that must run all
+/// at once.
+fn lacking_tasks(
+    shortage: &Shortage,
+    lack: &mut u64,
+    coming: &mut [Coming],
+    replica: &Replica,
+) -> u64 {
+    let Some(job) = replica.jobs.get(&shortage.job) else {
+        return 0;
+    };
+    let spec = &job.spec;
+    let at_once = shortage.together || !is_served(shortage, spec, coming, replica);
+    if !at_once {
+        let cpus = shortage.need.cpus;
+        let tasks = lack.div_ceil(cpus.max(1)).min(shortage.tasks);
+        *lack = lack.saturating_sub(tasks * cpus);
+        return tasks;
+    }
+    let mut left = shortage.tasks;
+    for machine in coming {
+        if left > 0 && spec.allows(&machine.type_name, &machine.zone, machine.spot) {
+            let tasks = shortage.need.count_in(machine.room).min(left);
+            machine.room = machine.room - shortage.need.times(tasks);
+            left -= tasks;
+        }
+    }
+    left
+}
+
+/// Whether any machine of the fleet, or on its way, may run a shortage's tasks, however busy it
+/// is. Otherwise it needs one, however idle the others are.
+fn is_served(shortage: &Shortage, spec: &JobSpec, coming: &[Coming], replica: &Replica) -> bool {
+    let fits = |type_name: &TypeName, zone: &Zone, spot: bool| {
+        let machine_type = replica.machine_type(type_name);
+        spec.allows(type_name, zone, spot)
+            && machine_type.is_some_and(|t| shortage.need.fits(t.room()))
+    };
+    let mut there = replica.machines.values().map(|m| &m.record);
+    coming.iter().any(|c| fits(&c.type_name, &c.zone, c.spot))
+        || there.any(|r| fits(&r.type_name, &r.zone, r.spot))
+}
+
+/// Arrays that may use the same machines rent together: calls are few, and each may bring many
+/// machines. They keep the place of the first of them.
+fn merged(shortages: Vec<Shortage>, replica: &Replica) -> Vec<Shortage> {
+    let mut list: Vec<Shortage> = Vec::new();
+    for shortage in shortages {
+        let spec = |s: &Shortage| replica.jobs.get(&s.job).map(|j| j.spec.clone());
+        let same = |other: &&mut Shortage| {
+            let alike = match (spec(&shortage), spec(other)) {
+                (Some(a), Some(b)) => (&a.types, &a.zone, a.spot) == (&b.types, &b.zone, b.spot),
+                _ => false,
+            };
+            alike && !shortage.together && !other.together && other.need == shortage.need
+        };
+        match list.iter_mut().find(same) {
+            Some(other) => other.tasks += shortage.tasks,
+            None => list.push(shortage),
+        }
+    }
+    list
+}
--- /dev/null
+++ b/src/cloud/fleet/silence.rs
@@ -0,0 +1,99 @@
+//! Machines of which nothing is hoped for any more.
+
+use super::*;
+
+/// Past this many boot times a machine will not come up any more.
+const BOOT_GIVEN_UP: f64 = 4.0;
+/// Seconds that a boot counts as at least.
+const SHORTEST_BOOT: f64 = 10.0;
+
+impl Fleet {
+    /// Machines that failed, never came up, or have been silent for too long. Deleting them is
+    /// also the proof that their tasks are gone.
+    pub(super) fn given_up(
+        &self,
+        now: Time,
+        replica: &Replica,
+        scheduler: &Scheduler,
+    ) -> Vec<MachineId> {
+        let mut list: Vec<MachineId> = self.failed.iter().cloned().collect();
+        list.extend(self.never_up(now, replica));
+        list.extend(self.silent(now, replica, scheduler));
+        list
+    }
+
+    /// Machines that have taken far too long to boot.
+    fn never_up(&self, now: Time, replica: &Replica) -> Vec<MachineId> {
+        let limit = |boot: &Boot| {
+            let boot_time = self.boot_time(&boot.type_name, replica);
+            Span::from_secs(BOOT_GIVEN_UP * boot_time.max(SHORTEST_BOOT))
+        };
+        let late = self
+            .booting
+            .iter()
+            .filter(|(_, boot)| now.since(boot.rented) > limit(boot));
+        late.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Machines of which nothing has been heard for too long, but for those where it is rather
+    /// the holder that hears nothing.
+    fn silent(&self, now: Time, replica: &Replica, scheduler: &Scheduler) -> Vec<MachineId> {
+        let mut list = Vec::new();
+        let patience = self.patience(replica);
+        let overdue = self.config.report + Span(self.config.report.0 / 4 + 500);
+        let mut by_holder: BTreeMap<&str, Quiet<'_>> = BTreeMap::new();
+        for (id, health) in &scheduler.health {
+            let lease = replica.blocks.get(&id.block(self.config.blocks()));
+            let Some(lease) = lease.filter(|l| l.revision == health.last.fence) else {
+                continue;
+            };
+            let entry = by_holder.entry(lease.value.holder.as_str()).or_default();
+            entry.count += 1;
+            entry.overdue += usize::from(health.last.silent >= overdue);
+            if health.last.silent >= patience && now.since(health.at) < Span(3000) {
+                entry.silent.push(id);
+            }
+        }
+        let all = by_holder.values().fold((0, 0), |(count, overdue), q| {
+            (count + q.count, overdue + q.overdue)
+        });
+        for quiet in by_holder.into_values() {
+            let rest = (all.0 - quiet.count, all.1 - quiet.overdue);
+            let doubtful = quiet.is_doubtful(rest);
+            let silent = quiet.silent;
+            // But most may really be gone: after a while they are given up all the same, or
+            // their work would wait for ever (simulated seed 45).
+            let given_up = silent.into_iter().filter(|id| {
+                !doubtful || scheduler.health[*id].last.silent >= Span(4 * patience.0)
+            });
+            list.extend(given_up.cloned());
+        }
+        list
+    }
+}
+
+/// What a holder says of its machines.
+#[derive(Debug, Default)]
+pub(super) struct Quiet<'a> {
+    pub count: usize,
+    /// A report of theirs should have come by now.
+    pub overdue: usize,
+    /// Silent for so long that they would be given up.
+    pub silent: Vec<&'a MachineId>,
+}
+
+impl Quiet<'_> {
+    /// Whether it is rather the holder that hears nothing: most of its machines are silent, or far
+    /// more than of all others, `rest`, though blocks are dealt out over zones and types alike. The
+    /// first of them are silent for long while the most have a moment left: what is overdue counts
+    /// (Tramite fleet, apart: a hundred healthy machines were deleted before it was clear).
+    pub fn is_doubtful(&self, rest: (usize, usize)) -> bool {
+        let most = self.silent.len() > 1.max(self.count / 2);
+        let (others, overdue) = rest;
+        // More than an eighth, and more than three times the others' part.
+        let far_more = 8 * self.overdue > self.count
+            && self.overdue > 3
+            && self.overdue * others > 3 * overdue * self.count;
+        most || (far_more && others > 0)
+    }
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -13,6 +13,7 @@
 mod replicas;
 mod scheduler;
 mod shortage;
+mod turns;
 mod zone_rule;
 
 pub use order::service_order;
--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -1,14 +1,14 @@
 //! One scheduling pass: every waiting job in its order gets the room that is left for it.
 
 use super::accounts::Accounts;
-use super::candidates::{Candidate, image_rooms};
+use super::candidates::Candidate;
 use super::faults::Faults;
 use super::gangs::{Gangs, Next, missing};
 use super::ledger::AllottedTasks;
-use super::order::{oldest_first, rank};
 use super::preemption::victims;
 use super::preference::{Search, choices};
 use super::shortage::Shortage;
+use super::turns::{Turn, turns};
 use super::zone_rule::ZoneRule;
 use crate::config::Config;
 use crate::ids::{
@@ -16,7 +16,7 @@
 };
 use crate::peers::{Allotment, attempt};
 use crate::store::records::PlacedJob;
-use crate::store::replica::{LiveJob, Replica};
+use crate::store::replica::Replica;
 use crate::store::tokens::{Bucket, Class};
 use crate::wire::Kind;
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,11 +29,6 @@
 /// the most. Near the full: else single tasks on nearly full machines use up what a large array
 /// needs next.
 const PLENTY: f64 = 0.9;
-/// Fetching is worth waiting for another place from this part of a task's own time on. Below, the
-/// wait costs more than it saves, and places of few tasks use up changes (Savannah fleet, calm).
-const FETCH_PART: f64 = 0.2;
-/// An array that has waited so long for its first task takes any place.
-const PATIENT: Span = Span(60_000);
 /// Tasks of one allotment.
 const BATCH: usize = 400;
 
@@ -64,25 +59,6 @@
     pub allotment: Allotment,
 }
 
-/// A waiting job's turn.
-#[derive(Clone, Copy)]
-struct Turn<'a> {
-    id: &'a JobId,
-    job: &'a LiveJob,
-    /// Only places where the job's image is.
-    cached_only: bool,
-}
-
-impl Turn<'_> {
-    fn kind(&self) -> Kind {
-        self.job.spec.kind
-    }
-
-    fn need(&self) -> Amounts {
-        self.job.spec.need()
-    }
-}
-
 /// The tasks of a job that are to be placed now.
 struct Request {
     open: Vec<u32>,
@@ -177,68 +153,11 @@
 
     /// Gives every waiting job its turn.
     pub fn run(&mut self) {
-        for turn in self.turns() {
+        for turn in turns(&self.input, &self.candidates) {
             self.serve(turn);
         }
     }
 
-    /// Jobs that lack tasks, in the order in which they are served.
-    fn waiting(&self) -> Vec<(&'a JobId, &'a LiveJob)> {
-        let input = &self.input;
-        let lacks = |job: &LiveJob| job.done_count() + (job.placed.len() as u32) < job.spec.tasks;
-        let mut waiting: Vec<(&JobId, &LiveJob)> = input
-            .replica
-            .jobs
-            .iter()
-            .filter(|(id, job)| !input.faults.paused(input.now, id) && lacks(job))
-            .collect();
-        waiting.sort_by_cached_key(|(id, job)| rank(id, job, input.within.contains(*id)));
-        oldest_first(&mut waiting, input.wall);
-        waiting
-    }
-
-    /// Where more waits than there is room for, each place goes to the first in the order whose
-    /// image is there; what is left goes to whoever is first. On a full fleet a third of all
-    /// tasks fetched images for a third of their own time (Tramite fleet, busy).
-    fn turns(&self) -> Vec<Turn<'a>> {
-        let waiting = self.waiting();
-        let covered = image_rooms(&self.candidates);
-        let rates = self.candidates.iter().map(|c| c.fetch_gb_per_s);
-        let slowest = rates.fold(f64::INFINITY, f64::min);
-        let turn = |(id, job): &(&'a JobId, &'a LiveJob), cached_only| Turn {
-            id,
-            job,
-            cached_only,
-        };
-        let patient = |job: &LiveJob| self.is_patient(job, &covered, slowest);
-        let first = waiting.iter().map(|w| turn(w, patient(w.1)));
-        let second = waiting.iter().filter(|w| patient(w.1));
-        first.chain(second.map(|w| turn(w, false))).collect()
-    }
-
-    /// Whether a job may wait for places where its image is: an array, wherever it may run, for
-    /// whose image there are enough of them, and which has not waited for its first task for long.
-    fn is_patient(
-        &self,
-        job: &LiveJob,
-        covered: &BTreeMap<&str, u64>,
-        slowest_gb_per_s: f64,
-    ) -> bool {
-        let spec = &job.spec;
-        let time = job.plan.as_ref().map_or(spec.estimate_s, |p| p.predicted_s);
-        let fetch = spec.image_gb / slowest_gb_per_s;
-        let left = spec.tasks.saturating_sub(job.done_count());
-        let room = covered.get(spec.image.as_str()).copied().unwrap_or(0);
-        let begun = !job.placed.is_empty() || job.done_count() > 0;
-        let age = Span(self.input.wall.0.saturating_sub(job.accepted.0));
-        spec.kind == Kind::Array
-            && fetch >= FETCH_PART * time
-            && !spec.one_zone
-            && !spec.spread
-            && room >= 2 * spec.need().cpus * u64::from(left)
-            && (begun || age < PATIENT)
-    }
-
     fn serve(&mut self, turn: Turn<'a>) {
         if turn.cached_only && self.roomy.is_empty() {
             return;
