--- a/src/placement/preference.rs
+++ b/src/placement/preference.rs
@@ -66,7 +66,10 @@
                 Kind::Service => Reverse(c.replicas),
                 _ => Reverse(0),
             };
+            // Machines with cards are few, and gangs wait for whole ones.
+            let wastes_cards = need.gpus == 0 && c.room.gpus > 0;
             (
+                wastes_cards,
                 together,
                 // Whole seconds, so that small differences don't scatter the work.
                 c.fetch_seconds(spec).ceil() as u64,
--- a/src/placement/tests/preemption.rs
+++ b/src/placement/tests/preemption.rs
@@ -75,3 +75,62 @@
     assert_eq!(stops.len(), 5);
     assert!(stops.iter().any(|run| run.task.job == idle.id));
 }
+
+/// A task that can save is stopped with the time that it needs for that, and no other is.
+#[test]
+fn idle_work_gets_the_time_to_save() {
+    let mut scene = full_of_idle_work(1);
+    let saving = scene.job(2, |s| {
+        s.priority = Priority::Low;
+        s.tasks = 4;
+        s.checkpoint_s = 15.0;
+        s.save_s = 4.0;
+    });
+    let runs: Vec<_> = (0..4).map(|i| (&saving, i, u64::from(100 + i))).collect();
+    scene.machine(5, "a", false, &runs);
+    array(&mut scene, 3, 8);
+    let mut out = Vec::new();
+    scene.scheduler.drive(NOW, TERM, &scene.replica, &mut out);
+    let mut graces: BTreeMap<JobId, Vec<Span>> = BTreeMap::new();
+    for effect in out {
+        if let Effect::ToHolder(_, message) = effect
+            && let Message::Stop { run, grace, .. } = *message
+        {
+            graces.entry(run.task.job).or_default().push(grace);
+        }
+    }
+    assert_eq!(graces[&saving.id], [Span(4000); 4]);
+    assert_eq!(graces[&JobId::from("job-000001")], [Span(0); 4]);
+}
+
+/// Gangs wait for machines with cards: work that needs none goes elsewhere while there is room.
+#[test]
+fn work_without_cards_keeps_off_machines_with_cards_while_there_is_other_room() {
+    let mut scene = Scene::new();
+    let catalog = json!({"hulls": [
+        {"name": "t8", "cores": 8, "cards": 0, "memory_gb": 64, "cache_gb": 50, "fetch_gb_per_s": 1.0,
+         "price": 1.0, "low_price": 0.5, "startup_s": 20, "berths": ["a"]},
+        {"name": "g8", "cores": 8, "cards": 2, "memory_gb": 64, "cache_gb": 50, "fetch_gb_per_s": 9.0,
+         "price": 9.0, "low_price": 0.5, "startup_s": 20, "berths": ["a"]}]});
+    scene.put(keys::CATALOG.to_owned(), &catalog);
+    let plain = scene.machine(1, "a", false, &[]);
+    let cards = MachineId::from("vm-0002");
+    let record = MachineRecord::new("1.1.1.1:1", &"g8".into(), &"a".into(), false);
+    scene.put(keys::machine(&cards), &record);
+    let health = scene.health(&cards);
+    scene.scheduler.on_health(NOW, vec![health], &scene.replica);
+    scene.job(1, |s| {
+        s.tasks = 6;
+        s.image_gb = 9.0;
+    });
+    let (allotments, _) = scene.drive();
+    let on = |id: &MachineId| -> usize {
+        let there = allotments.iter().filter(|a| a.preferred[0] == *id);
+        there.map(|a| a.runs.len()).sum()
+    };
+    assert_eq!(
+        (on(&plain), on(&cards)),
+        (4, 2),
+        "the faster fetch does not draw it there"
+    );
+}
