Idle machines go when a gang waits for what the cloud could give instead

Now, when something that must run all at once is refused everywhere it may run and nothing it could use is on its way, empty machines go that nothing waiting may use, and they are not called back for it.

--- a/src/cloud/fleet/rentals.rs
+++ b/src/cloud/fleet/rentals.rs
@@ -160,7 +160,7 @@
 
     /// The type, zone and kind that does a shortage's work for the least, among those that the
     /// cloud has not refused lately.
-    fn cheapest<'a>(
+    pub(super) fn cheapest<'a>(
         &self,
         catalog: &'a Catalog,
         replica: &Replica,
--- a/src/cloud/fleet/returns.rs
+++ b/src/cloud/fleet/returns.rs
@@ -22,6 +22,19 @@
     Span::from_secs(replica.settings().idle_s)
 }
 
+/// Whether something that waits for room may run on a machine.
+fn may_serve_waiting(id: &MachineId, replica: &Replica, scheduler: &Scheduler) -> bool {
+    let Some(record) = replica.machines.get(id).map(|m| &m.record) else {
+        return false;
+    };
+    let waiting = scheduler.shortages.iter();
+    let mut jobs = waiting.filter_map(|s| replica.jobs.get(&s.job));
+    jobs.any(|job| {
+        job.spec
+            .allows(&record.type_name, &record.zone, record.spot)
+    })
+}
+
 impl Fleet {
     /// Empties machines that the load has not needed for a while, the dearest first, and returns
     /// those that are empty. What runs on them may finish; replicas are moved.
@@ -37,9 +50,13 @@
             .retain(|id| replica.machines.contains_key(id));
         let movable = self.measure_capacity(now, replica, scheduler);
         let emptied = self.emptied(now, replica, scheduler);
-        let short = scheduler.shortages.iter().any(|s| s.tasks > 0);
-        if !short && self.has_looked_on(now, replica) && now >= self.next_return {
-            self.send_away(now, movable, scheduler);
+        if self.has_looked_on(now, replica) && now >= self.next_return {
+            let short = scheduler.shortages.iter().any(|s| s.tasks > 0);
+            if !short {
+                self.send_away(now, movable, scheduler);
+            } else if self.is_blocked(replica, scheduler) {
+                self.send_useless_away(now, movable, replica, scheduler);
+            }
         }
         emptied
     }
@@ -149,11 +166,13 @@
 
     /// Takes machines back that were to leave, when they are needed again after all.
     pub(super) fn stay(&mut self, lack: &mut u64, replica: &Replica, scheduler: &mut Scheduler) {
+        let none_waits = scheduler.shortages.is_empty();
         while *lack > 0 {
             let back = scheduler
                 .leaving
                 .iter()
-                .find(|id| !self.deleting.contains_key(*id) && replica.machines.contains_key(*id))
+                .filter(|id| !self.deleting.contains_key(*id) && replica.machines.contains_key(*id))
+                .find(|id| none_waits || may_serve_waiting(id, replica, scheduler))
                 .cloned();
             let Some(id) = back else { return };
             scheduler.leaving.remove(&id);
@@ -165,4 +184,53 @@
             *lack = lack.saturating_sub(room.max(1));
         }
     }
+
+    /// Whether something that must run all at once waits for a machine that the cloud has not got,
+    /// with none on its way.
+    fn is_blocked(&self, replica: &Replica, scheduler: &Scheduler) -> bool {
+        let stored = replica.catalog.as_ref().map(|c| &c.value);
+        let Some(catalog) = self.catalog.as_ref().or(stored) else {
+            return false;
+        };
+        let together = scheduler.shortages.iter().filter(|s| s.together);
+        together.into_iter().any(|shortage| {
+            let Some(job) = replica.jobs.get(&shortage.job) else {
+                return false;
+            };
+            let spec = &job.spec;
+            let asked = self.rentals.iter().map(|r| &r.request);
+            let mut asked = asked.filter(|r| spec.allows(&r.type_name, &r.zone, r.spot));
+            let mut booting = self.booting.values();
+            asked.next().is_none()
+                && !booting.any(|b| spec.allows(&b.type_name, &b.zone, b.spot))
+                && self
+                    .cheapest(catalog, replica, shortage, shortage.tasks)
+                    .is_none()
+        })
+    }
+
+    /// Lets empty machines leave that nothing which waits may use: they take up what the cloud
+    /// could give instead.
+    fn send_useless_away(
+        &mut self,
+        now: Time,
+        movable: Vec<Movable>,
+        replica: &Replica,
+        scheduler: &mut Scheduler,
+    ) {
+        let is_useless = |machine: &Movable| {
+            machine.used == 0 && !may_serve_waiting(&machine.id, replica, scheduler)
+        };
+        let most = 1 + movable.len() / RETURN_PART;
+        let useless: Vec<MachineId> = movable
+            .into_iter()
+            .filter(is_useless)
+            .map(|machine| machine.id)
+            .take(most)
+            .collect();
+        if !useless.is_empty() {
+            self.next_return = now + RETURN_PAUSE;
+            scheduler.leaving.extend(useless);
+        }
+    }
 }
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -427,6 +427,18 @@
     }
 }
 
+/// All that the stand-in's cloud has to give was held by idle spot machines, which the gang that
+/// waited must not use: nothing is returned while something waits, so it waited for ever.
+#[test]
+fn idle_machines_go_when_a_gang_waits_for_what_the_cloud_could_give_instead() {
+    let (name, trouble) = pairs().into_iter().nth(49).expect("a pair");
+    assert_eq!(name, "cuts and copies");
+    assert_kept(
+        &play(10_999, trouble, Breakage::None),
+        "cuts and copies, seed 10999",
+    );
+}
+
 #[test]
 #[ignore = "a search through many seeds, run by hand"]
 fn many_seeds_of_any_two_troubles() {
