--- a/src/sim/checks.rs
+++ b/src/sim/checks.rs
@@ -12,6 +12,8 @@
 const MACHINE_CPUS: u64 = 8000;
 /// No job is left waiting for so long beside room that fits.
 const WAITS: u64 = 90_000;
+/// Once all is well a deleted machine's record goes within this time.
+const GHOST_STAYS: u64 = 30_000;
 /// The longest way of a command that is neither held nor lost.
 const JUST_SENT: u64 = 10;
 
@@ -41,6 +43,23 @@
         }
     }
 
+    /// A record that came back for a deleted machine with what was carried out once more has to go
+    /// again.
+    pub fn check_ghosts_go(&mut self) {
+        if !self.healed || self.scale.is_some() {
+            return;
+        }
+        let stands = |id: &&MachineId| self.store.keys.contains_key(&keys::machine(id));
+        let standing: BTreeSet<MachineId> = self.gone.iter().filter(stands).cloned().collect();
+        self.ghosts.retain(|id, _| standing.contains(id));
+        for id in standing {
+            let since = *self.ghosts.entry(id.clone()).or_insert(self.now);
+            if self.now.since(since).0 > GHOST_STAYS {
+                self.breaks("ghost_stays", id);
+            }
+        }
+    }
+
     /// `not_done` and `went_back`.
     pub fn check_over(&mut self) {
         if self.scale.is_some() {
--- a/src/sim/troubles.rs
+++ b/src/sim/troubles.rs
@@ -86,7 +86,9 @@
         if self.trouble.freezes && self.chance(30) {
             let victim = self.pick_node();
             let ms = self.pick(4000, 2 * LEASE);
-            self.nodes[victim].frozen_until = Time(self.now.0 + ms);
+            let until = Time(self.now.0 + ms);
+            self.nodes[victim].frozen_until = until;
+            self.stood_still_until = self.stood_still_until.max(until);
         }
         if self.trouble.deaf && self.chance(35) && !self.workers.is_empty() {
             let at = self.pick(0, self.workers.len() as u64 - 1) as usize;
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -296,6 +296,10 @@
     pub starts: u64,
     /// Machines that were deleted.
     pub gone: BTreeSet<MachineId>,
+    /// Since when records of machines that are gone stand, once all troubles are over.
+    pub ghosts: BTreeMap<MachineId, Time>,
+    /// Until when a controller stood still last.
+    pub stood_still_until: Time,
     pub scale: Option<Scale>,
 }
 
@@ -372,6 +376,8 @@
             broken: Vec::new(),
             starts: 0,
             gone: BTreeSet::new(),
+            ghosts: BTreeMap::new(),
+            stood_still_until: Time(0),
             scale: None,
         };
         for _ in 0..4 {
@@ -542,7 +548,9 @@
                     let again = What::Txn(node, life, owner.clone(), txn, false);
                     self.after(ms, again);
                 }
+                // What comes once more may bring a record back for a while: see `check_ghosts_go`.
                 if let TxnOutcome::Committed(revision) = &outcome
+                    && answered
                     && !self.trouble.lost_answers
                     && !self.trouble.slow
                     && !self.healed
@@ -609,7 +617,14 @@
                 let t = &self.trouble;
                 let led = !(t.crashes || t.gap || t.leaders || t.away || t.slow);
                 let only = led && !self.healed;
-                if stands && only && self.store.keys.contains_key(&keys::machine(&id)) {
+                let due = Time(self.stood_still_until.0 + DEAF);
+                if stands && only && self.now < due {
+                    // Nobody could notice while controllers stood still.
+                    let deaf = self.workers.get(&id).is_some_and(|w| w.deaf_until >= due);
+                    if deaf {
+                        self.after(due.since(self.now).0, What::Deaf(id));
+                    }
+                } else if stands && only && self.store.keys.contains_key(&keys::machine(&id)) {
                     self.breaks("kept_deaf", &id);
                 }
             }
@@ -977,6 +992,7 @@
         let now = self.now;
         self.check_cancelled();
         self.check_waiting();
+        self.check_ghosts_go();
         let mut there: BTreeMap<(JobId, crate::ids::Attempt), Vec<TaskState>> = BTreeMap::new();
         let up = |w: &&mut Worker| !w.dead && w.hang_until <= now;
         for worker in self.workers.values_mut().filter(up) {
