--- /dev/null
+++ b/src/compatibility/samples.rs
@@ -0,0 +1,228 @@
+//! One sample of every message between controllers and of every stored record.
+
+use crate::admin::Settings;
+use crate::cancellation::RoundId;
+use crate::ids::{
+    Attempt, BlockId, GrantId, Incarnation, JobId, MachineId, Member, Revision, Run, Span, TaskId,
+    Wall,
+};
+use crate::peers::{Allotment, End, Ended, MachineHealth, Message};
+use crate::store::records::{
+    Bitmap, BlockRecord, HistoryRecord, JobRecord, LeaderRecord, MachineRecord, OverRecord,
+    PlanBatch, PlanRecord,
+};
+use crate::wire::{Catalog, JobState, Why};
+use serde::Serialize;
+use serde_json::{Value, json};
+
+pub const JOB: &str = "job-000412";
+
+fn run(index: u32) -> Run {
+    Run {
+        task: TaskId {
+            job: JOB.into(),
+            index,
+        },
+        attempt: Attempt((77 << 20) + u64::from(index)),
+    }
+}
+
+fn machine() -> MachineId {
+    "vm-000231".into()
+}
+
+/// A machine with running and finished tasks of one job.
+pub fn machine_record() -> MachineRecord {
+    let mut record = MachineRecord::new("10.1.0.232:9000", &"t8".into(), &"a".into(), true);
+    let spec = crate::wire::tests::spec(JOB);
+    record.add(&run(2), &spec);
+    record.add(&run(3), &spec);
+    record.count(&JOB.into(), 0, 1);
+    record
+}
+
+fn ended(end: End) -> Message {
+    Message::Ended(Ended {
+        run: run(2),
+        machine: machine(),
+        revision: Revision(431),
+        type_name: "t8".into(),
+        pipeline: Some("batch".into()),
+        end,
+        estimate_s: 30.0,
+        ran: Some(Span(28_500)),
+    })
+}
+
+fn health() -> Message {
+    Message::Health(vec![MachineHealth {
+        machine: machine(),
+        fence: Revision(41),
+        silent: Span(1200),
+        missed: Span(3000),
+        confirmed: true,
+        notice: Some(Span(8000)),
+        unrecorded: Some(machine_record()),
+        gangs: vec![(JOB.into(), Attempt(9))],
+    }])
+}
+
+/// Every message, under the name of its variant.
+pub fn messages() -> Vec<(&'static str, Message)> {
+    let member = || Member::from("mooring-1");
+    let job = || JobId::from(JOB);
+    vec![
+        (
+            "Hello",
+            Message::Hello {
+                member: member(),
+                incarnation: Incarnation(u64::MAX >> 1),
+            },
+        ),
+        (
+            "Allot",
+            Message::Allot(Allotment {
+                block: BlockId(4),
+                fence: Revision(41),
+                job_revision: Revision(400),
+                runs: vec![run(0), run(1)],
+                preferred: vec![machine()],
+            }),
+        ),
+        (
+            "Refused",
+            Message::Refused {
+                fence: Revision(41),
+                runs: vec![run(0)],
+            },
+        ),
+        ("EndedDone", ended(End::Done)),
+        ("EndedExited", ended(End::Exited(Why::NoRoom))),
+        ("EndedAbsent", ended(End::Absent)),
+        ("Freed", Message::Freed(vec![(machine(), run(2), true)])),
+        (
+            "Stop",
+            Message::Stop {
+                machine: machine(),
+                run: run(2),
+                grace: Span(4000),
+            },
+        ),
+        (
+            "Cancelled",
+            Message::Cancelled {
+                round: RoundId(3),
+                job: job(),
+                revision: Revision(500),
+                age: Span(20),
+            },
+        ),
+        (
+            "CancelledKnown",
+            Message::CancelledKnown {
+                round: RoundId(3),
+                job: job(),
+                settled: vec![(BlockId(4), Revision(41))],
+            },
+        ),
+        (
+            "Ask",
+            Message::Ask {
+                id: 8,
+                post: true,
+                path: "/work".into(),
+                body: b"{}".to_vec(),
+            },
+        ),
+        (
+            "Reply",
+            Message::Reply {
+                id: 8,
+                status: 201,
+                body: b"{}".to_vec(),
+            },
+        ),
+        (
+            "Word",
+            Message::Word {
+                served: true,
+                hears: vec![member()],
+                misses: vec![machine()],
+            },
+        ),
+        (
+            "Relay",
+            Message::Relay {
+                to: member(),
+                from: "mooring-2".into(),
+                message: Box::new(Message::Strays(vec![machine()])),
+            },
+        ),
+        ("Strays", Message::Strays(vec![machine()])),
+        ("Health", health()),
+    ]
+}
+
+fn json_of(record: &impl Serialize) -> Value {
+    serde_json::to_value(record).expect("json")
+}
+
+fn catalog() -> Catalog {
+    serde_json::from_value(json!({"hulls": [
+        {"name": "t8", "cores": 8.0, "cards": 0.0, "memory_gb": 64.0, "cache_gb": 50.0,
+         "fetch_gb_per_s": 1.0, "price": 1.0, "low_price": 0.4, "startup_s": 4.0,
+         "berths": ["a", "b"]}]}))
+    .expect("catalog")
+}
+
+fn history() -> HistoryRecord {
+    let mut history = HistoryRecord::default();
+    history.types.insert("t8".into(), vec![0.5, 1.25]);
+    history
+}
+
+fn plans() -> PlanBatch {
+    let plan = PlanRecord {
+        type_name: Some("t8".into()),
+        machines: vec![machine()],
+        predicted_s: 28.5,
+    };
+    PlanBatch::from([(JOB.into(), plan)])
+}
+
+fn segment() -> Bitmap {
+    let mut bits = Bitmap::default();
+    for bit in [0, 1, 70] {
+        bits.set(bit);
+    }
+    bits
+}
+
+/// Every record but the controllers' own: that one names its version.
+pub fn records() -> Vec<(&'static str, Value)> {
+    let leader = LeaderRecord {
+        member: "mooring-1".into(),
+        incarnation: Incarnation(12),
+    };
+    let block = BlockRecord {
+        holder: "mooring-1".into(),
+        incarnation: Incarnation(12),
+        term: Revision(40),
+    };
+    let job = JobRecord::new(crate::wire::tests::spec(JOB), Wall(1_700_000_000_000));
+    let over = |state, tasks| OverRecord { state, tasks };
+    vec![
+        ("leader", json_of(&leader)),
+        ("block", json_of(&block)),
+        ("job", json_of(&job)),
+        ("segment", json_of(&segment())),
+        ("over-done", json_of(&over(JobState::Done, 4))),
+        ("over-cancelled", json_of(&over(JobState::Cancelled, 4))),
+        ("machine", json_of(&machine_record())),
+        ("plans", json_of(&plans())),
+        ("history", json_of(&history())),
+        ("catalog", json_of(&catalog())),
+        ("settings", json_of(&Settings::default())),
+        ("grant", json_of(&GrantId(7))),
+    ]
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,8 @@
 mod admin;
 mod cancellation;
 mod cloud;
+#[cfg(test)]
+mod compatibility;
 mod config;
 mod controller;
 mod daemon;
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -5,6 +5,8 @@
 mod messages;
 mod routes;
 
+#[cfg(test)]
+pub use frame::encode as encode_frame;
 pub use link::{Links, listen};
 pub use messages::{Allotment, End, Ended, MachineHealth, Message, attempt};
 pub use routes::Routes;
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -35,6 +35,12 @@
     pub accepted: Wall,
 }
 
+impl JobRecord {
+    pub fn new(spec: JobSpec, accepted: Wall) -> Self {
+        Self { spec, accepted }
+    }
+}
+
 /// How a job ended; written once and never changed.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct OverRecord {
