--- a/src/cloud/demand.rs
+++ b/src/cloud/demand.rs
@@ -5,7 +5,7 @@
 use crate::ids::Wall;
 use crate::placement::service_order;
 use crate::store::replica::{LiveJob, Replica};
-use crate::wire::{JobSpec, Kind};
+use crate::wire::Kind;
 
 /// CPUs, in thousandths.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -93,12 +93,16 @@
         + 0.5 * spec.image_gb / fetch
 }
 
-/// How long after its acceptance an array is due: by its deadline, else by the operators'
-/// objective for its pipeline. Without either there is no hurry, but an end.
-fn due_s(spec: &JobSpec, task: f64, config: &Config) -> f64 {
-    let objective = config.finish_within.get(&spec.pipeline).map(|s| s.secs());
-    let due = spec.deadline_s.or(objective);
-    due.unwrap_or(4.0 * task + 60.0)
+/// In how many seconds an array is due: by its deadline or by those of the jobs that depend on it,
+/// else by the operators' objective for its pipeline. Without either there is no hurry, but an end.
+fn due_s(wall: Wall, job: &LiveJob, task: f64, config: &Config) -> f64 {
+    if let Some(finish_by) = job.urgency.finish_by {
+        return (finish_by.0 as f64 - wall.0 as f64) / 1000.0;
+    }
+    let age = wall.0.saturating_sub(job.eligible.0) as f64 / 1000.0;
+    let objective = config.finish_within.get(&job.spec.pipeline);
+    let due = objective.map_or(4.0 * task + 60.0, |s| s.secs());
+    due - age
 }
 
 /// The load, and the batches that it is made of.
@@ -118,8 +122,7 @@
         let running = (job.placed.len() as u32).min(left);
         let task = task_time(job, replica);
         let width = need.cpus.saturating_mul(left.into()).min(limit) as f64;
-        let age = wall.0.saturating_sub(job.accepted.0) as f64 / 1000.0;
-        let due = due_s(spec, task, config) - age;
+        let due = due_s(wall, job, task, config);
         let cpus = need.cpus as f64;
         // What runs holds its place whatever comes first; on average half of it is left.
         busy += 0.5 * f64::from(running) * cpus * task;
--- a/src/cloud/demand/tests.rs
+++ b/src/cloud/demand/tests.rs
@@ -51,7 +51,7 @@
     let objective = objective.map(|within| (spec.pipeline.clone(), within));
     config.finish_within.extend(objective);
     let accepted = Wall(1_000_000);
-    let record = JobRecord { spec, accepted };
+    let record = JobRecord::new(spec, accepted);
     let mut replica = Replica::new(&config);
     replica.load(Item {
         key: keys::job(&record.spec.id),
--- a/src/cloud/flow.rs
+++ b/src/cloud/flow.rs
@@ -28,14 +28,14 @@
         self.came.retain(|_, (at, _)| !old(*at));
         for (id, job) in &replica.jobs {
             let spec = &job.spec;
-            let before = job.accepted < since;
-            if spec.kind != Kind::Array || before || old(job.accepted) || self.came.contains_key(id)
+            let before = job.eligible < since;
+            if spec.kind != Kind::Array || before || old(job.eligible) || self.came.contains_key(id)
             {
                 continue;
             }
             let cpus = spec.need().times(spec.tasks.into()).cpus as f64;
             let work = cpus * task_time(job, replica);
-            self.came.insert(id.clone(), (job.accepted, work));
+            self.came.insert(id.clone(), (job.eligible, work));
         }
     }
 
@@ -76,10 +76,7 @@
             if second < 120 {
                 let mut spec = crate::wire::tests::spec(&id);
                 spec.tasks = 10;
-                let record = JobRecord {
-                    spec,
-                    accepted: now,
-                };
+                let record = JobRecord::new(spec, now);
                 replica.load(Item {
                     key: keys::job(&id.as_str().into()),
                     value: serde_json::to_value(&record).expect("json"),
--- a/src/compatibility/samples.rs
+++ b/src/compatibility/samples.rs
@@ -186,6 +186,7 @@
         type_name: Some("t8".into()),
         machines: vec![machine()],
         predicted_s: 28.5,
+        joins: None,
     };
     PlanBatch::from([(JOB.into(), plan)])
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,7 +1,9 @@
 //! The platform's settings file, checked before anything starts.
 
+mod state_limits;
 mod team;
 
+pub use state_limits::{StateLimits, StateRates};
 pub use team::Team;
 
 use crate::ids::{Amounts, Member, Pipeline, Span, TeamId, Zone};
@@ -49,10 +51,7 @@
     /// Within this time the operators want the jobs of a pipeline done: the shortest of their
     /// objectives for it.
     pub finish_within: BTreeMap<Pipeline, Span>,
-    pub state_rps: f64,
-    pub state_write_rps: f64,
-    pub value_bytes: usize,
-    pub txn_ops: usize,
+    pub state: StateLimits,
     pub cloud_rps: f64,
     pub list_lag: Span,
     pub sockets: usize,
@@ -94,7 +93,7 @@
     #[serde(default)]
     objectives: Vec<FileObjective>,
     workers: FileWorkers,
-    state: FileState,
+    state: state_limits::FileState,
     cloud: FileCloud,
     quota: FileQuota,
 }
@@ -123,14 +122,6 @@
     cancel_s: f64,
 }
 
-#[derive(Deserialize)]
-struct FileState {
-    rps: f64,
-    write_rps: f64,
-    value_kb: f64,
-    txn_ops: usize,
-}
-
 #[derive(Deserialize)]
 struct FileCloud {
     rps: f64,
@@ -252,15 +243,9 @@
                 return invalid(&field("name"), "names a team twice");
             }
         }
-        if params.state.txn_ops < 4 {
-            return invalid("params.state.txn_ops", "must be at least 4");
-        }
         if params.quota.sockets < 64 {
             return invalid("params.quota.sockets", "must be at least 64");
         }
-        if !(params.state.value_kb >= 1.0 && params.state.value_kb < 1e6) {
-            return invalid("params.state.value_kb", "must be at least 1");
-        }
         let within = params
             .objectives
             .iter()
@@ -286,10 +271,7 @@
                 "params.workers.gang_wait_s",
                 workers.gang_wait_s,
             )?),
-            state_rps: positive("params.state.rps", params.state.rps)?,
-            state_write_rps: positive("params.state.write_rps", params.state.write_rps)?,
-            value_bytes: (params.state.value_kb * 1024.0) as usize,
-            txn_ops: params.state.txn_ops,
+            state: StateLimits::check(&params.state)?,
             cloud_rps: positive("params.cloud.rps", params.cloud.rps)?,
             list_lag: Span::from_secs(not_negative(
                 "params.cloud.list_lag_s",
@@ -310,9 +292,10 @@
     }
 
     /// Tasks in one record of a completion counter: four fit into a byte of it, and the rest
-    /// of the value is left free.
+    /// of the value is left free. The same for all versions of the program, whatever limits come
+    /// later: the numbering of what is stored rests on it.
     pub fn segment_tasks(&self) -> u32 {
-        (self.value_bytes as u32).clamp(1024, 65_536)
+        (self.state.present_value_bytes as u32).clamp(1024, 65_536)
     }
 }
 
--- /dev/null
+++ b/src/config/state_limits/tests.rs
@@ -0,0 +1,64 @@
+use crate::config::Config;
+use crate::config::tests::sample;
+use serde_json::json;
+
+fn limits_with(next: serde_json::Value) -> Result<super::StateLimits, String> {
+    let mut file = sample();
+    file["params"]["state"]["next"] = next;
+    let config = Config::parse(&file.to_string());
+    config.map(|c| c.state).map_err(|error| error.to_string())
+}
+
+#[test]
+fn sizes_keep_to_the_smaller_limits_and_rates_begin_with_the_larger() {
+    let now = limits_with(json!(null)).expect("no later limits");
+    assert_eq!((now.value_bytes, now.txn_ops), (8192, 12));
+    assert_eq!(now.rates, now.least_rates);
+    let next = json!({"value_kb": 2.0, "txn_ops": 4, "write_rps": 18.0, "unheard_of": 1});
+    let limits = limits_with(next).expect("lower limits");
+    assert_eq!((limits.value_bytes, limits.txn_ops), (2048, 4));
+    assert_eq!(
+        (limits.rates.changes, limits.least_rates.changes),
+        (40.0, 18.0)
+    );
+    assert_eq!(limits.rates.requests, limits.least_rates.requests);
+    assert_eq!(limits.present_value_bytes, 8192);
+    let next = json!({"value_kb": 64, "txn_ops": 100, "write_rps": 90, "rps": 10});
+    let limits = limits_with(next).expect("some higher limits");
+    assert_eq!((limits.value_bytes, limits.txn_ops), (8192, 12));
+    assert_eq!(
+        (limits.rates.changes, limits.least_rates.changes),
+        (90.0, 40.0)
+    );
+    assert_eq!(
+        (limits.rates.requests, limits.least_rates.requests),
+        (100.0, 10.0)
+    );
+}
+
+#[test]
+fn later_limits_that_make_no_sense_are_named() {
+    for (field, value) in [
+        ("value_kb", json!(0)),
+        ("txn_ops", json!(3)),
+        ("write_rps", json!(0)),
+        ("rps", json!(-1)),
+    ] {
+        let error = limits_with(json!({ field: value })).expect_err(field);
+        let named = format!("`params.state.next.{field}`");
+        assert!(error.contains(&named) && !error.contains('\n'), "{error}");
+    }
+    let error = limits_with(json!("soon")).expect_err("not an object");
+    assert!(error.contains("invalid type"), "{error}");
+}
+
+/// The numbering of a completion counter's segments is part of what is stored: it must not follow
+/// from limits that only a later version of the program knows.
+#[test]
+fn the_layout_of_stored_counters_does_not_change_with_later_limits() {
+    let mut file = sample();
+    let before = Config::parse(&file.to_string()).expect("valid");
+    file["params"]["state"]["next"] = json!({"value_kb": 2.0});
+    let after = Config::parse(&file.to_string()).expect("valid");
+    assert_eq!(before.segment_tasks(), after.segment_tasks());
+}
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -28,7 +28,7 @@
 fn unknown_fields_are_ignored_and_limits_come_from_the_file() {
     let config = sample_config();
     assert_eq!(config.controllers, 3);
-    assert_eq!(config.txn_ops, 12);
+    assert_eq!(config.state.txn_ops, 12);
     assert_eq!(config.teams[&TeamId::from("red")].limit().cpus, 24_000);
 }
 
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -2,6 +2,7 @@
 //! randomness of its own. The daemon carries out the effects; tests do so in simulated time.
 
 mod cancel;
+mod dependents;
 mod lead;
 
 use crate::cancellation::{RoundId, Rounds, View};
@@ -22,6 +23,7 @@
 use crate::wire::state::{Event, Txn};
 use crate::wire::{Catalog, JobState, ListedMachine, Order, RentRequest, Report};
 use crate::workers::{self, CallOutcome, CheckinAnswer, Holder};
+use dependents::Dependents;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Whom a transaction's outcome concerns.
@@ -33,6 +35,10 @@
     Plans(Vec<JobId>),
     /// The end of a job.
     Release(JobId),
+    /// The release of a job that waited for others.
+    Dependent(JobId),
+    /// The cancellation of jobs that need a cancelled one.
+    CancelledDependents(Vec<JobId>),
     Catalog,
     /// Repeated on its own when it is still needed.
     Nobody,
@@ -76,6 +82,8 @@
 const FOLDS: usize = 4;
 /// A release without an outcome is tried again after this.
 const RELEASE_AGAIN: Span = Span(4000);
+/// Machine types that the state service refused for their size are offered again after this.
+const CATALOG_AGAIN: Span = Span(60_000);
 const UNHEARD: Span = Span(10_000);
 /// The turns of a large fleet lie further apart, by so many machines for a millisecond.
 const MACHINES_PER_MS: usize = 4;
@@ -101,7 +109,9 @@
     plans_again: Time,
     plan_batch: u64,
     releasing: BTreeMap<JobId, Time>,
+    dependents: Dependents,
     catalog_in_flight: bool,
+    catalog_again: Time,
     dropping: BTreeMap<MachineId, Time>,
     /// Since when no holder has spoken of a machine without a record.
     unheard: BTreeMap<MachineId, Time>,
@@ -137,7 +147,9 @@
             plans_again: zero,
             plan_batch: 0,
             releasing: BTreeMap::new(),
+            dependents: Dependents::default(),
             catalog_in_flight: false,
+            catalog_again: zero,
             dropping: BTreeMap::new(),
             unheard: BTreeMap::new(),
             dirty: false,
@@ -262,7 +274,7 @@
                 self.plans_again = now + PLANS_GATHER;
                 let again = matches!(outcome, TxnOutcome::Refused);
                 for job in jobs.iter().filter(|_| again) {
-                    let plan = self.replica.jobs.get(job).and_then(|j| j.plan.clone());
+                    let plan = self.replica.plan(job).cloned();
                     self.plans.extend(plan.map(|p| (job.clone(), p)));
                 }
             }
@@ -271,8 +283,25 @@
                 if known && !matches!(outcome, TxnOutcome::Committed(_)) {
                     self.releasing.remove(job);
                 }
+                if matches!(outcome, TxnOutcome::Committed(_)) {
+                    self.learn_outcome(job, JobState::Done);
+                }
+            }
+            TxnOwner::Dependent(job) => self.on_release(now, job, outcome),
+            TxnOwner::CancelledDependents(jobs) => {
+                if let TxnOutcome::Committed(revision) = outcome {
+                    self.dependents_cancelled(jobs, *revision);
+                }
+            }
+            TxnOwner::Catalog => {
+                self.catalog_in_flight = false;
+                if matches!(outcome, TxnOutcome::Invalid) {
+                    tracing::error!(
+                        "the machine types do not fit into a value of the state service"
+                    );
+                    self.catalog_again = now + CATALOG_AGAIN;
+                }
             }
-            TxnOwner::Catalog => self.catalog_in_flight = false,
             TxnOwner::Nobody => {}
         }
         self.finish(now, out)
@@ -337,6 +366,7 @@
 
     pub fn on_standing(&mut self, now: Time, job: &JobId, state: JobState) -> Vec<Effect> {
         self.overdue.learn(job, state);
+        self.learn_outcome(job, state);
         self.next_overdue = now;
         self.turn(now)
     }
@@ -347,6 +377,12 @@
         self.turn(now)
     }
 
+    /// How many changes the state service takes in a second from all controllers.
+    pub fn set_change_rate(&mut self, changes: f64) {
+        self.holder.set_change_rate(changes);
+        self.scheduler.set_change_rate(changes);
+    }
+
     /// When the next tick is due; events may ask for an earlier one.
     pub fn wants_turn_at(&self, now: Time) -> Time {
         let schedule = if self.dirty {
@@ -515,6 +551,7 @@
             None => {
                 self.give_up_own(now, overdue, &mut effects);
                 self.plans.clear();
+                self.dependents.clear();
                 self.releasing.clear();
                 self.history.clear();
             }
--- /dev/null
+++ b/src/controller/dependents.rs
@@ -0,0 +1,192 @@
+//! The leader's part in dependent jobs: learning how the jobs that others need have ended,
+//! releasing those that need nothing more, and passing cancellations on.
+//!
+//! A job is released by one conditional write of its own record, on the ground of final records
+//! that were read or written before: those never change, so no later leader can find otherwise,
+//! and whoever releases does it once. Until then the job is in nobody's queue or account.
+
+use super::*;
+use crate::planning::cancel_dependents;
+use crate::store::records::JobRecord;
+use crate::store::waiting::Outcome;
+
+/// A question, or a write, without an outcome is repeated after this.
+const AGAIN: Span = Span(1000);
+/// A write that certainly was not executed.
+const REFUSED_AGAIN: Span = Span(200);
+/// Questions and releases under way at the most, so that a new leader that finds thousands of
+/// waiting jobs leaves requests for everything else.
+const UNDER_WAY: usize = 16;
+/// Whoever cancels a job cancels its dependents too, before its user is told. The leader leaves
+/// them alone for so long, and then does what that controller did not get to.
+const CANCELLER_FIRST: Span = Span(1500);
+
+/// What the leader has asked and written, until when it waits for the outcome.
+#[derive(Debug, Default)]
+pub(super) struct Dependents {
+    asked: BTreeMap<JobId, Time>,
+    releasing: BTreeMap<JobId, Time>,
+    /// When dependents of cancelled jobs are looked at next.
+    cancel_at: Option<Time>,
+}
+
+impl Dependents {
+    pub(super) fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    fn expire(&mut self, now: Time) {
+        self.asked.retain(|_, until| *until > now);
+        self.releasing.retain(|_, until| *until > now);
+    }
+}
+
+impl Controller {
+    /// Does whatever dependent jobs need now.
+    pub(super) fn drive_dependents(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if self.replica.waiting.len() == 0 {
+            self.dependents.clear();
+            return;
+        }
+        self.dependents.expire(now);
+        self.ask_outcomes(now, effects);
+        self.release_ready(now, effects);
+        self.pass_cancellations_on(now, effects);
+    }
+
+    /// Has the final records read of jobs that others need and that have left the mirror.
+    fn ask_outcomes(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let room = UNDER_WAY.saturating_sub(self.dependents.asked.len());
+        let unasked = self.replica.waiting.unknown();
+        let unasked = unasked.filter(|id| !self.dependents.asked.contains_key(*id));
+        let ids: Vec<JobId> = unasked.take(room).cloned().collect();
+        for id in ids {
+            self.dependents.asked.insert(id.clone(), now + AGAIN);
+            effects.push(Effect::Standing(id));
+        }
+    }
+
+    /// Releases jobs that need nothing more, the most urgent first.
+    fn release_ready(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let room = UNDER_WAY.saturating_sub(self.dependents.releasing.len());
+        if room == 0 {
+            return;
+        }
+        let waiting = &self.replica.waiting;
+        let ready = waiting.ready();
+        let idle = ready.filter(|id| !self.dependents.releasing.contains_key(*id));
+        let mut ids: Vec<JobId> = idle.cloned().collect();
+        ids.sort_by_cached_key(|id| {
+            let urgency = waiting.urgency(id);
+            let finish_by = urgency.and_then(|u| u.finish_by);
+            let latest = finish_by.unwrap_or(crate::ids::Wall(u64::MAX));
+            (std::cmp::Reverse(urgency.map(|u| u.priority)), latest)
+        });
+        for id in ids.into_iter().take(room) {
+            let Some((revision, record)) = self.released(&id) else {
+                continue;
+            };
+            let mut txn = Txn::default();
+            txn.require(keys::job(&id), revision);
+            txn.put(keys::job(&id), &record, None);
+            self.dependents.releasing.insert(id.clone(), now + AGAIN);
+            effects.push(Effect::Txn {
+                owner: TxnOwner::Dependent(id),
+                class: Class::Place,
+                txn,
+            });
+        }
+    }
+
+    /// A waiting job's revision, and its record as released now.
+    fn released(&self, id: &JobId) -> Option<(Revision, JobRecord)> {
+        let job = self.replica.waiting.get(id)?;
+        let now = self.scheduler.wall.max(job.accepted);
+        let mut record = JobRecord::new((*job.spec).clone(), job.accepted);
+        record.released = Some(now);
+        Some((job.revision, record))
+    }
+
+    pub(super) fn on_release(&mut self, now: Time, id: &JobId, outcome: &TxnOutcome) {
+        match outcome {
+            TxnOutcome::Committed(revision) => {
+                self.dependents.releasing.remove(id);
+                self.take_released(id, *revision);
+            }
+            // The mirror is behind, or others release and cancel as well: what it shows then decides.
+            TxnOutcome::Refused | TxnOutcome::Invalid | TxnOutcome::Failed(..) => {
+                let until = now + REFUSED_AGAIN;
+                self.dependents.releasing.insert(id.clone(), until);
+            }
+            TxnOutcome::Unknown => {}
+        }
+    }
+
+    /// The job's tasks may run at once, before the stream brings its record.
+    fn take_released(&mut self, id: &JobId, revision: Revision) {
+        let Some((_, record)) = self.released(id) else {
+            return;
+        };
+        let group = self.replica.waiting.group_machines(id).to_vec();
+        self.replica.put_job(id.clone(), record, revision);
+        self.prefer(id, group);
+        self.dirty = true;
+        self.next_schedule = Time::default();
+    }
+
+    /// Puts the machines of the placement group that a job joins before those that have its image.
+    fn prefer(&mut self, id: &JobId, group: Vec<MachineId>) {
+        let plan = self.replica.jobs.get_mut(id).and_then(|j| j.plan.as_mut());
+        if let Some(plan) = plan.filter(|_| !group.is_empty()) {
+            let own = std::mem::replace(&mut plan.machines, group);
+            let more = own.into_iter().filter(|m| !plan.machines.contains(m));
+            let more: Vec<MachineId> = more.collect();
+            plan.machines.extend(more);
+            plan.machines.truncate(PlanRecord::MACHINES);
+        }
+    }
+
+    /// A final record was read, or written here.
+    pub(super) fn learn_outcome(&mut self, job: &JobId, state: JobState) {
+        let outcome = match state {
+            JobState::Done => Outcome::Done,
+            JobState::Cancelled => Outcome::Cancelled,
+            JobState::Queued | JobState::Running => return,
+        };
+        self.dependents.asked.remove(job);
+        self.replica.note_outcome(job, outcome);
+    }
+
+    /// Cancels what needs a cancelled job, where the controller that cancelled it has not done so.
+    fn pass_cancellations_on(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let Some(cancelled) = self.replica.waiting.cancelled().next() else {
+            self.dependents.cancel_at = None;
+            return;
+        };
+        if now
+            < *self
+                .dependents
+                .cancel_at
+                .get_or_insert(now + CANCELLER_FIRST)
+        {
+            return;
+        }
+        self.dependents.cancel_at = Some(now + REFUSED_AGAIN);
+        let ops = self.config.state.txn_ops;
+        if let Some((txn, jobs)) = cancel_dependents(cancelled, &self.replica, ops) {
+            effects.push(Effect::Txn {
+                owner: TxnOwner::CancelledDependents(jobs),
+                class: Class::Accept,
+                txn,
+            });
+        }
+    }
+
+    /// These jobs were cancelled because others that they need were.
+    pub fn dependents_cancelled(&mut self, jobs: &[JobId], revision: Revision) {
+        for job in jobs {
+            self.replica.cancel(job, revision);
+        }
+        self.dirty = true;
+    }
+}
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -1,9 +1,11 @@
 //! The leader's turn: plans, ends, the cloud, and what is to be cleaned up.
 
 use super::*;
+use crate::planning::counter::Layout;
 
 impl Controller {
     pub(super) fn lead(&mut self, now: Time, term: Revision, effects: &mut Vec<Effect>) {
+        self.drive_dependents(now, effects);
         let due = (self.dirty && now >= self.next_schedule)
             || now.since(self.last_schedule) >= SCHEDULE_EVERY;
         if due {
@@ -35,11 +37,14 @@
             self.fleet
                 .drive(now, term, &self.replica, &mut self.scheduler, &mut out);
             effects.extend(self.cloud_effects(now, out));
-            self.store_catalog(effects);
+            self.store_catalog(now, effects);
         }
         if now >= self.next_history {
             self.next_history = now + HISTORY_EVERY;
-            if let Some((pipeline, record)) = self.history.next(&self.replica) {
+            if let Some((pipeline, record)) = self
+                .history
+                .next(&self.replica, self.config.state.value_bytes)
+            {
                 let mut txn = Txn::default();
                 txn.require(keys::LEADER, term);
                 txn.put(keys::history(&pipeline), &record, None);
@@ -55,7 +60,7 @@
             self.forget_lost(now);
             self.fold(effects);
             let mut txn = Txn::default();
-            for key in self.replica.orphans() {
+            for key in self.replica.orphans(self.config.state.txn_ops) {
                 txn.delete(key);
             }
             if !txn.changes.is_empty() {
@@ -70,35 +75,25 @@
 
     /// Plans what was accepted. The plan serves at once; its record follows.
     pub(super) fn plan(&mut self, now: Time) {
-        let new: Vec<JobId> = self
-            .replica
-            .jobs
-            .iter()
-            .filter(|(_, job)| job.plan.is_none())
-            .map(|(id, _)| id.clone())
-            .collect();
+        let jobs = self.replica.jobs.iter();
+        let unplanned = jobs.filter(|(_, job)| job.plan.is_none());
+        let unplanned = unplanned.map(|(id, _)| id);
+        let unplanned = unplanned.chain(self.replica.waiting.unplanned());
+        let new: Vec<JobId> = unplanned.cloned().collect();
         for id in new {
-            let Some(plan) = self
-                .replica
-                .jobs
-                .get(&id)
-                .map(|job| plan_job(job, &self.replica))
-            else {
-                continue;
-            };
-            if let Some(job) = self.replica.jobs.get_mut(&id) {
-                job.plan = Some(plan.clone());
-            }
-            if self.plans.is_empty() {
-                self.plans_since = now;
+            for (planned, plan) in plan_job(&id, &self.replica) {
+                self.replica.set_plan(&planned, plan.clone());
+                if self.plans.is_empty() {
+                    self.plans_since = now;
+                }
+                self.plans.insert(planned, plan);
             }
-            self.plans.insert(id, plan);
         }
     }
 
     /// Writes plans in batches: one change for many. The batch goes once all its jobs are over.
     pub(super) fn write_plans(&mut self, now: Time, term: Revision, effects: &mut Vec<Effect>) {
-        let room = self.config.value_bytes / 2;
+        let room = self.config.state.value_bytes / 2;
         let full = 600 * self.plans.len() > room;
         let due = full || now.since(self.plans_since) >= PLANS_GATHER;
         let waits = self.plans_in_flight || now < self.plans_again;
@@ -110,9 +105,10 @@
         while size < room
             && let Some((id, plan)) = self.plans.pop_first()
         {
-            if self.replica.jobs.contains_key(&id) {
+            if self.replica.job_revision(&id).is_some() {
                 let machines = plan.machines.iter().map(|m| 4 + m.as_str().len());
-                size += 80 + id.as_str().len() + machines.sum::<usize>();
+                let joins = plan.joins.as_ref().map_or(0, |j| 12 + j.as_str().len());
+                size += 80 + id.as_str().len() + machines.sum::<usize>() + joins;
                 batch.insert(id, plan);
             }
         }
@@ -140,8 +136,7 @@
             .retain(|id, at| self.replica.jobs.contains_key(id) && now.since(*at) < RELEASE_AGAIN);
         for (id, job) in &self.replica.jobs {
             if !self.releasing.contains_key(id)
-                && let Some(txn) =
-                    counter::release(id, job, self.config.segment_tasks(), self.config.txn_ops)
+                && let Some(txn) = counter::release(id, job, &Layout::new(&self.config))
             {
                 self.releasing.insert(id.clone(), now);
                 effects.push(Effect::Txn {
@@ -173,15 +168,15 @@
 
     /// Moves what machines' records count into the jobs' own counters where a record grows long.
     pub(super) fn fold(&mut self, effects: &mut Vec<Effect>) {
-        let long = self.config.value_bytes / 4;
+        let most = self.config.state.value_bytes;
         let records = self.replica.machines.values().map(|m| &m.record);
-        let full = records.filter(|r| r.done_bound() > long);
+        let full = records.filter(|r| r.done_size() > most / 4 || r.size() > most);
         let jobs: BTreeSet<&JobId> = full.flat_map(|r| r.done.iter().map(|d| &d.job)).collect();
         for id in jobs.into_iter().take(FOLDS) {
             let mut txn = Txn::default();
             if let Some(job) = self.replica.jobs.get(id) {
-                let (size, room) = (self.config.segment_tasks(), self.config.txn_ops);
-                counter::fold(&mut txn, id, job, size, room);
+                let room = self.config.state.txn_ops;
+                counter::fold(&mut txn, id, job, &Layout::new(&self.config), room);
             }
             if !txn.changes.is_empty() {
                 effects.push(Effect::Txn {
@@ -193,8 +188,8 @@
         }
     }
 
-    pub(super) fn store_catalog(&mut self, effects: &mut Vec<Effect>) {
-        if self.catalog_in_flight {
+    pub(super) fn store_catalog(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if self.catalog_in_flight || now < self.catalog_again {
             return;
         }
         if let Some(catalog) = self.fleet.catalog_to_store(&self.replica) {
@@ -235,10 +230,10 @@
                         // leader that reads everything anew would run it again.
                         let mut all = true;
                         for done in &machine.record.done {
-                            let room = self.config.txn_ops - 1 - txn.changes.len();
+                            let room = self.config.state.txn_ops - 1 - txn.changes.len();
                             if let Some(job) = self.replica.jobs.get(&done.job) {
-                                let size = self.config.segment_tasks();
-                                all &= counter::fold(&mut txn, &done.job, job, size, room);
+                                let layout = Layout::new(&self.config);
+                                all &= counter::fold(&mut txn, &done.job, job, &layout, room);
                             }
                         }
                         if all {
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -18,7 +18,7 @@
         });
     };
     let grant = GrantId(3);
-    put(keys::member(&me), &MemberRecord { incarnation, grant });
+    put(keys::member(&me), &MemberRecord::new(incarnation, grant));
     let leader = LeaderRecord {
         member: me.clone(),
         incarnation,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -70,8 +70,8 @@
     let share = 1.3 / f64::from(config.controllers.max(2));
     let store = Rc::new(Store::new(
         config.state_addr,
-        config.state_rps * share,
-        config.state_write_rps * share,
+        &config.state,
+        share,
         config.answer_bytes,
         started,
     ));
@@ -221,7 +221,10 @@
         let at = node.controller.borrow().wants_turn_at(now);
         let wait = at.since(now).0.clamp(5, 100);
         runtime::sleep(Duration::from_millis(wait)).await;
-        let effects = node.controller.borrow_mut().tick(node.now(), Wall::now());
+        let mut controller = node.controller.borrow_mut();
+        controller.set_change_rate(node.store.rates().changes);
+        let effects = controller.tick(node.now(), Wall::now());
+        drop(controller);
         node.carry_out(effects);
     }
 }
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -1,5 +1,6 @@
 //! The users' side: submissions, polls, withdrawals. Any controller serves it.
 
+mod dependencies;
 mod over;
 mod service;
 mod verify;
--- a/src/intake/service.rs
+++ b/src/intake/service.rs
@@ -1,5 +1,6 @@
 //! Submissions, polls and withdrawals, each decided by the state service.
 
+use super::dependencies::new_job;
 use super::over::{Over, OverCache};
 use super::verify::{Verdict, Verifier};
 use crate::config::Config;
@@ -10,7 +11,7 @@
 use crate::store::records::{JobRecord, OverRecord};
 use crate::store::tokens::Class;
 use crate::store::{Store, StoreError, TxnOutcome, keys};
-use crate::wire::state::Txn;
+use crate::wire::state::{Item, Txn};
 use crate::wire::{Catalog, JobSpec, JobState, JobStatus, Kind, submitted_id, valid_job_id};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -21,9 +22,9 @@
 const COME_BACK: u32 = 1;
 
 pub struct Intake {
-    config: Config,
-    store: Rc<Store>,
-    controller: Rc<RefCell<Controller>>,
+    pub(super) config: Config,
+    pub(super) store: Rc<Store>,
+    pub(super) controller: Rc<RefCell<Controller>>,
     verifier: Verifier,
     over: RefCell<OverCache>,
     cancellations: Sender<Cancellation>,
@@ -40,18 +41,23 @@
 }
 
 /// Where a job stands, as checked against the state service.
-enum Found {
-    Live,
+pub(super) enum Found {
+    Live(Item),
     Over(Over),
     Never,
     Unknown,
 }
 
-fn later(why: &str) -> Response {
+pub(super) fn later(why: &str) -> Response {
     Response::later(why, COME_BACK)
 }
 
-fn status(code: u16, id: &JobId, state: JobState, counts: Option<(u64, u64)>) -> Response {
+pub(super) fn status(
+    code: u16,
+    id: &JobId,
+    state: JobState,
+    counts: Option<(u64, u64)>,
+) -> Response {
     Response::json(
         code,
         &JobStatus {
@@ -71,6 +77,15 @@
     status(200, id, record.state, Some((done, 0)))
 }
 
+/// The size of a job's record once it is stored, with the time of its release.
+fn record_size(spec: &JobSpec) -> usize {
+    let record = JobRecord {
+        released: Some(Wall(u64::MAX)),
+        ..JobRecord::new(spec.clone(), Wall(u64::MAX))
+    };
+    serde_json::to_vec(&record).map_or(usize::MAX, |bytes| bytes.len())
+}
+
 /// Why a job can never run, if so.
 fn impossible(spec: &JobSpec, config: &Config, catalog: &Catalog) -> Option<&'static str> {
     let Some(team) = config.teams.get(&spec.team) else {
@@ -108,7 +123,7 @@
         controller: Rc<RefCell<Controller>>,
         cancellations: Sender<Cancellation>,
     ) -> Self {
-        let verifier = Verifier::start(store.clone(), 4 * config.txn_ops);
+        let verifier = Verifier::start(store.clone(), 4 * config.state.txn_ops);
         Self {
             config: config.clone(),
             store,
@@ -128,7 +143,7 @@
         let (known, catalog) = {
             let controller = self.controller.borrow();
             let catalog = controller.replica.catalog.as_ref().map(|c| c.value.clone());
-            (controller.replica.jobs.contains_key(&id), catalog)
+            (controller.replica.job_revision(&id).is_some(), catalog)
         };
         if known || self.over.borrow().get(&id).is_some() {
             return self.poll_known(&id).await;
@@ -140,30 +155,38 @@
             return later("machine types are not known yet");
         };
         if let Some(why) = impossible(&spec, &self.config, &catalog) {
-            // What was accepted once is never refused later, whatever has changed since.
-            return match self.find(&id).await {
-                Found::Never => Response::error(422, why),
-                Found::Unknown => later("the state service can't be reached"),
-                Found::Live | Found::Over(_) => self.poll_known(&id).await,
-            };
+            return self.refuse(&id, why).await;
         }
-        let record = JobRecord {
-            spec,
-            accepted: Wall::now(),
-        };
-        let mut txn = Txn::default();
-        txn.require(keys::job(&id), Revision(0));
-        txn.require(keys::over(&id), Revision(0));
+        if record_size(&spec) > self.config.state.value_bytes {
+            return self.refuse(&id, "its description is too long").await;
+        }
+        if !spec.dependencies.is_empty() {
+            return self.submit_dependent(spec).await;
+        }
+        let record = JobRecord::new(spec, Wall::now());
+        let mut txn = new_job(&id);
         txn.put(keys::job(&id), &record, None);
         match self.store.txn(Class::Accept, &txn).await {
             TxnOutcome::Committed(_) => status(201, &id, JobState::Queued, None),
             TxnOutcome::Failed(..) => self.poll_known(&id).await,
-            TxnOutcome::Refused => later("too much is asked of the state service"),
+            TxnOutcome::Refused | TxnOutcome::Invalid => {
+                later("too much is asked of the state service")
+            }
             // It may stand already; the repeat will tell.
             TxnOutcome::Unknown => later("the state service did not answer"),
         }
     }
 
+    /// Refuses a submission for good. What was accepted once is never refused later, whatever has
+    /// changed since.
+    pub(super) async fn refuse(&self, id: &JobId, why: &str) -> Response {
+        match self.find(id).await {
+            Found::Never => Response::error(422, why),
+            Found::Unknown => later("the state service can't be reached"),
+            Found::Live(_) | Found::Over(_) => self.poll_known(id).await,
+        }
+    }
+
     /// What was accepted once is known, whatever its repeat lacks.
     async fn malformed(&self, body: &[u8], message: &str) -> Response {
         let Some(id) = submitted_id(body) else {
@@ -182,7 +205,7 @@
         self.poll_known(&id.into()).await
     }
 
-    async fn poll_known(&self, id: &JobId) -> Response {
+    pub(super) async fn poll_known(&self, id: &JobId) -> Response {
         if let Some(over) = self.cached(id) {
             return self.final_status(id, over, None).await;
         }
@@ -191,7 +214,7 @@
         }
         let revision = {
             let controller = self.controller.borrow();
-            controller.replica.jobs.get(id).map(|j| j.revision)
+            controller.replica.job_revision(id)
         };
         if let Some(revision) = revision {
             match self.verifier.verify(id, revision).await {
@@ -201,7 +224,7 @@
             }
         }
         match self.find(id).await {
-            Found::Live => self.live_status(id),
+            Found::Live(_) => self.live_status(id),
             Found::Over(over) => self.final_status(id, over, None).await,
             Found::Never => Response::error(404, "no such job"),
             Found::Unknown => later("the state service can't be reached"),
@@ -224,9 +247,12 @@
 
     /// Reads a job's records. A job leaves the first key only together with its entry under the
     /// second, so reading them in this order can't miss it.
-    async fn find(&self, id: &JobId) -> Found {
+    pub(super) async fn find(&self, id: &JobId) -> Found {
+        if let Some(over) = self.cached(id) {
+            return Found::Over(over);
+        }
         match self.store.get(Class::Poll, &keys::job(id)).await {
-            Ok(Some(_)) => return Found::Live,
+            Ok(Some(item)) => return Found::Live(item),
             Ok(None) => {}
             Err(_) => return Found::Unknown,
         }
@@ -256,6 +282,9 @@
             if result.get().await != Some(true) {
                 return later("its tasks are being stopped");
             }
+            if !self.cancel_dependents(id, over.revision).await {
+                return later("the jobs that need it are being cancelled");
+            }
             self.over.borrow_mut().put(
                 id,
                 Over {
--- a/src/intake/service/tests.rs
+++ b/src/intake/service/tests.rs
@@ -136,7 +136,11 @@
     /// machine types only if it is told.
     fn intake(&self, types: bool) -> (Intake, Receiver<Cancellation>) {
         let config = sample_config();
-        let store = Store::new(self.addr, 1e4, 1e4, 1 << 20, Instant::now());
+        let mut limits = config.state;
+        limits.rates.requests = 1e4;
+        limits.rates.changes = 1e4;
+        limits.least_rates = limits.rates;
+        let store = Store::new(self.addr, &limits, 1.0, 1 << 20, Instant::now());
         let mut controller = Controller::new(&config, crate::ids::Incarnation(1));
         let mut replica = Replica::new(&config);
         if types {
@@ -155,6 +159,28 @@
     }
 }
 
+impl Scene {
+    /// Brings a controller's mirror up to what the state service holds, as the stream does.
+    fn catch_up(&self, intake: &Intake) {
+        let state = self.state.borrow();
+        let live = |(key, _): &(&String, _)| key.starts_with(keys::LIVE);
+        let mut replica = Replica::new(&intake.config);
+        for (key, (value, revision)) in state.keys.iter().filter(live) {
+            replica.load(crate::wire::state::Item {
+                key: key.clone(),
+                value: value.clone(),
+                revision: Revision(*revision),
+                grant: None,
+            });
+        }
+        let catalog = intake.controller.borrow().replica.catalog.clone();
+        replica.catalog = replica.catalog.or(catalog);
+        replica.revision = Revision(state.revision);
+        let mut controller = intake.controller.borrow_mut();
+        controller.on_snapshot(crate::ids::Time(1), replica);
+    }
+}
+
 fn body(id: &str, change: impl Fn(&mut Value)) -> Vec<u8> {
     let mut body = crate::wire::tests::submission(id);
     change(&mut body);
@@ -243,6 +269,8 @@
             assert_eq!(intake.submit(&body("job-1", |_| ())).await.status, 503);
         }
         gone.set(true);
+        scene.catch_up(&first);
+        scene.catch_up(&other);
         // In an outage too, where the record was read before.
         scene.state.borrow_mut().away = true;
         for intake in [&first, &other] {
--- a/src/intake/verify.rs
+++ b/src/intake/verify.rs
@@ -101,7 +101,7 @@
                     Verdict::Unchanged
                 }
             }
-            TxnOutcome::Refused | TxnOutcome::Unknown => Verdict::Unknown,
+            TxnOutcome::Refused | TxnOutcome::Invalid | TxnOutcome::Unknown => Verdict::Unknown,
         };
         question.answer.send(verdict);
     }
--- a/src/leadership/grants.rs
+++ b/src/leadership/grants.rs
@@ -58,7 +58,8 @@
     let grant = store.create_grant(life.as_millis() as u64).await.ok()?;
     let mut txn = Txn::default();
     txn.require(key, revision);
-    txn.put(key, &MemberRecord { incarnation, grant }, Some(grant));
+    let record = MemberRecord::new(incarnation, grant);
+    txn.put(key, &record, Some(grant));
     match store.txn(Class::Grant, &txn).await {
         TxnOutcome::Committed(_) => Some(grant),
         _ => {
--- a/src/leadership/hearing/tests.rs
+++ b/src/leadership/hearing/tests.rs
@@ -17,10 +17,7 @@
         });
     };
     for (n, member) in ["c0", "c1", "c2"].into_iter().enumerate() {
-        let record = MemberRecord {
-            incarnation: Incarnation(n as u64),
-            grant: GrantId(n as u64 + 1),
-        };
+        let record = MemberRecord::new(Incarnation(n as u64), GrantId(n as u64 + 1));
         let value = serde_json::to_value(&record).expect("json");
         put(keys::member(&member.into()), value);
     }
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -38,7 +38,7 @@
             me: config.member.clone(),
             incarnation,
             blocks: config.blocks(),
-            txn_ops: config.txn_ops,
+            txn_ops: config.state.txn_ops,
             grant: None,
             in_flight: false,
             retry_at: Time::default(),
@@ -116,7 +116,9 @@
                 self.retry_revision = *revision;
                 self.retry_at = now + Span(20);
             }
-            TxnOutcome::Refused | TxnOutcome::Unknown => self.retry_at = now + RETRY,
+            TxnOutcome::Refused | TxnOutcome::Invalid | TxnOutcome::Unknown => {
+                self.retry_at = now + RETRY;
+            }
         }
     }
 
@@ -234,10 +236,7 @@
     }
 
     fn join(replica: &mut Replica, at: u64, member: &str, incarnation: u64) {
-        let record = MemberRecord {
-            incarnation: Incarnation(incarnation),
-            grant: GrantId(100 + incarnation),
-        };
+        let record = MemberRecord::new(Incarnation(incarnation), GrantId(100 + incarnation));
         let value = serde_json::to_value(&record).expect("json");
         put(replica, at, keys::member(&member.into()), value);
     }
--- a/src/placement/candidates.rs
+++ b/src/placement/candidates.rs
@@ -1,5 +1,6 @@
 //! The machines that can take work in one scheduling pass.
 
+use super::record_room::RecordRoom;
 use super::replicas::replicas;
 use crate::config::Config;
 use crate::ids::{Amounts, BlockId, MachineId, Member, Revision, TypeName, Zone};
@@ -20,6 +21,8 @@
     pub room: Amounts,
     /// What is left of it, less what this pass has given out.
     pub free: Amounts,
+    /// What is left of its record.
+    pub record: RecordRoom,
     pub images: Vec<&'a str>,
     pub fetch_gb_per_s: f64,
     pub replicas: usize,
@@ -33,6 +36,9 @@
     pub promised: BTreeMap<&'a MachineId, Amounts>,
     /// Proved gone, and still on record.
     pub freed: BTreeMap<&'a MachineId, Amounts>,
+    /// The bytes that these will add to the record, and those that will go from it.
+    pub promised_bytes: BTreeMap<&'a MachineId, usize>,
+    pub freed_bytes: BTreeMap<&'a MachineId, usize>,
 }
 
 impl<'a> Candidate<'a> {
@@ -51,6 +57,7 @@
         let promised = pending.promised.get(id).copied().unwrap_or_default();
         let freed = pending.freed.get(id).copied().unwrap_or_default();
         let used = record.used() + promised - freed;
+        let bytes = |of: &BTreeMap<&MachineId, usize>| of.get(id).copied().unwrap_or(0);
         let (replicas, replicas_use) = replicas(machine, replica);
         Some(Self {
             id,
@@ -63,6 +70,12 @@
             room,
             fetch_gb_per_s: machine_type.fetch_gb_per_s.max(0.01),
             free: room - used,
+            record: RecordRoom::new(
+                record,
+                config.state.value_bytes,
+                bytes(&pending.promised_bytes),
+                bytes(&pending.freed_bytes),
+            ),
             images: machine.images.iter().map(|(i, _)| i.as_str()).collect(),
             replicas,
             replicas_use,
@@ -82,6 +95,12 @@
         }
     }
 
+    /// How many tasks of a job there is room for beside what is kept from it.
+    pub fn tasks_that_fit(&self, spec: &JobSpec, kept: Amounts) -> u64 {
+        let room = spec.need().count_in(self.free - kept);
+        room.min(self.record.tasks(spec))
+    }
+
     /// Whether the job may run on this type, in this zone, on this kind of machine.
     pub fn is_allowed(&self, spec: &JobSpec) -> bool {
         spec.allows(self.type_name, self.zone, self.spot)
--- a/src/placement/ledger.rs
+++ b/src/placement/ledger.rs
@@ -3,8 +3,10 @@
 
 use super::accounts::Accounts;
 use super::candidates::Pending;
+use super::record_room::ANY_JOB;
 use crate::ids::{Amounts, BlockId, JobId, MachineId, Revision, Run, Span, TeamId, Time};
 use crate::peers::Ended;
+use crate::store::machine_record::size;
 use crate::store::replica::Replica;
 use crate::wire::Kind;
 use std::collections::{BTreeMap, BTreeSet};
@@ -114,10 +116,14 @@
     /// Books what the mirror doesn't show on the teams' accounts, and sums it up by machine.
     pub fn book(&self, accounts: &mut Accounts<'_>, replica: &Replica) -> Pending<'_> {
         let mut pending = Pending::default();
-        for a in self.allotted.values() {
+        let mut last: BTreeMap<&MachineId, &JobId> = BTreeMap::new();
+        for (run, a) in &self.allotted {
             accounts.charge(&a.team, a.need);
             let sum = pending.promised.entry(&a.machine).or_default();
             *sum = *sum + a.need;
+            let known = last.insert(&a.machine, &run.task.job) == Some(&run.task.job);
+            let bytes = pending.promised_bytes.entry(&a.machine).or_default();
+            *bytes += size::LARGEST_TASK + if known { 0 } else { ANY_JOB };
         }
         for (run, machine) in &self.freed {
             let record = replica.machines.get(machine).map(|m| &m.record);
@@ -126,6 +132,8 @@
                 accounts.credit(&placed.team, placed.need);
                 let sum = pending.freed.entry(machine).or_default();
                 *sum = *sum + placed.need;
+                let bytes = pending.freed_bytes.entry(machine).or_default();
+                *bytes += size::task(run.task.index, run.attempt);
             }
         }
         pending
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -10,6 +10,7 @@
 mod pass;
 mod preemption;
 mod preference;
+mod record_room;
 mod replicas;
 mod scheduler;
 mod shortage;
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -12,7 +12,7 @@
     jobs: impl Iterator<Item = (&'a JobId, &'a LiveJob)>,
 ) -> BTreeSet<JobId> {
     let mut by_age: Vec<_> = jobs.collect();
-    by_age.sort_by_key(|(id, j)| (j.accepted, (*id).clone()));
+    by_age.sort_by_key(|(id, j)| (j.eligible, (*id).clone()));
     let mut used: BTreeMap<&TeamId, Amounts> = BTreeMap::new();
     let mut within = BTreeSet::new();
     for (id, job) in by_age {
@@ -41,7 +41,7 @@
     list
 }
 
-/// What is due later than this after its acceptance, or never, counts as due then: under lasting
+/// What is due later than this after it could begin, or never, counts as due then: under lasting
 /// overload it would otherwise stand behind all that comes after it.
 const DUE_AT_LATEST: u64 = 150_000;
 /// A job that has waited so long for its first task goes before everything else, one at a time:
@@ -54,25 +54,23 @@
     let starving = waiting
         .iter()
         .enumerate()
-        .filter(|(_, (_, j))| unbegun(j) && now.0.saturating_sub(j.accepted.0) > STARVING)
-        .min_by_key(|(_, (id, j))| (j.accepted, *id));
+        .filter(|(_, (_, j))| unbegun(j) && now.0.saturating_sub(j.eligible.0) > STARVING)
+        .min_by_key(|(_, (id, j))| (j.eligible, *id));
     if let Some((at, _)) = starving {
         waiting[..=at].rotate_right(1);
     }
 }
 
-/// Priority first; then what a guarantee covers; then what is due first; then age.
+/// Priority first; then what a guarantee covers; then what is due first; then age. Priority and
+/// time are those of the most urgent job that depends on it.
 pub fn rank(id: &JobId, job: &LiveJob, within: bool) -> impl Ord + use<> {
-    let due = job
-        .spec
-        .deadline_s
-        .map_or(u64::MAX, |s| (s * 1000.0) as u64);
-    let due = Wall(job.accepted.0.saturating_add(due.min(DUE_AT_LATEST)));
+    let latest = Wall(job.eligible.0.saturating_add(DUE_AT_LATEST));
+    let due = job.urgency.finish_by.map_or(latest, |at| at.min(latest));
     (
-        Reverse(job.spec.priority),
+        Reverse(job.priority()),
         !within,
         due,
-        job.accepted,
+        job.eligible,
         id.clone(),
     )
 }
--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -285,8 +285,8 @@
         }
         let replica = self.input.replica;
         let lower = |run: &Run, _: &PlacedJob| {
-            let victim = replica.jobs.get(&run.task.job)?.spec.priority;
-            (victim < spec.priority).then_some(victim)
+            let victim = replica.jobs.get(&run.task.job)?.priority();
+            (victim < job.priority()).then_some(victim)
         };
         let place = self
             .candidates
@@ -364,7 +364,9 @@
         };
         let need = turn.need();
         let candidate = &mut self.candidates[at];
-        let takes = need.fits(candidate.free - held) && zones.admits(candidate.zone);
+        let takes = need.fits(candidate.free - held)
+            && zones.admits(candidate.zone)
+            && candidate.record.take(&turn.job.spec);
         if takes {
             zones.add(candidate.zone);
             candidate.free = candidate.free - need;
@@ -383,7 +385,7 @@
         let Turn { id, job, .. } = turn;
         let spec = &job.spec;
         let candidate = &self.candidates[at];
-        let age_ms = self.input.wall.0.saturating_sub(job.accepted.0);
+        let age_ms = self.input.wall.0.saturating_sub(job.eligible.0);
         tracing::debug!(job = %id, machine = %candidate.id, tasks = tasks.len(), image = %spec.image, cached = candidate.has_image(spec), age_ms, "allotted");
         let attempts = &mut self.state.attempts;
         let runs = tasks.into_iter().map(|index| Run {
@@ -445,6 +447,7 @@
             let count = outgoing.allotment.runs.len() as u64;
             let free = self.candidates[at].free;
             self.candidates[at].free = free + turn.need().times(count);
+            self.candidates[at].record.give_back(count);
         }
     }
 
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -8,7 +8,7 @@
 use crate::config::Config;
 use crate::ids::{Amounts, JobId, MachineId, Run, Span, TaskId, Time, Wall};
 use crate::store::records::PlacedJob;
-use crate::store::replica::Replica;
+use crate::store::replica::{LiveJob, Replica};
 use crate::wire::{JobSpec, Kind, Priority};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -111,11 +111,11 @@
             let spec = &job.spec;
             // Tasks end all the time, and those of a guarantee are next in line: work is only
             // thrown away for them once waiting won't do.
-            let age = Span(self.wall.0.saturating_sub(job.accepted.0));
+            let age = Span(self.wall.0.saturating_sub(job.eligible.0));
             let guaranteed = self.within.contains(&shortage.job) && self.is_worth_room(age);
             let others = self.config.teams.keys().filter(|t| **t != spec.team);
             let borrowed = guaranteed && others.into_iter().any(|t| self.accounts.borrows(t));
-            if !borrowed && lowest.is_none_or(|p| p >= spec.priority) {
+            if !borrowed && lowest.is_none_or(|p| p >= job.priority()) {
                 continue;
             }
             // Room that is about to come free needs no look at the machines.
@@ -129,7 +129,7 @@
                 looks -= 1;
                 // Tasks of arrays are small and many: one look makes room for several.
                 let at_once = if spec.kind == Kind::Array { left } else { 1 };
-                let best = self.cheapest_room(shortage, spec, at_once, guaranteed, &gone);
+                let best = self.cheapest_room(shortage, job, at_once, guaranteed, &gone);
                 let Some((machine, victims)) = best else {
                     break;
                 };
@@ -152,7 +152,7 @@
     /// The lowest priority of what stands on machines.
     fn lowest_placed(&self) -> Option<Priority> {
         let placed = self.replica.jobs.values().filter(|j| !j.placed.is_empty());
-        placed.map(|j| j.spec.priority).min()
+        placed.map(LiveJob::priority).min()
     }
 
     /// The machine where room for a task costs the least, and what is to be stopped there for as
@@ -160,20 +160,21 @@
     fn cheapest_room(
         &self,
         shortage: &Shortage,
-        spec: &JobSpec,
+        job: &LiveJob,
         tasks: u64,
         guaranteed: bool,
         gone: &BTreeSet<Run>,
     ) -> Option<(&MachineId, Victims)> {
+        let (spec, priority) = (&job.spec, job.priority());
         let fair = |run: &Run, placed: &PlacedJob| {
-            let victim = &self.replica.jobs.get(&run.task.job)?.spec;
+            let victim = self.replica.jobs.get(&run.task.job)?;
             let over = guaranteed
-                && victim.team != spec.team
-                && victim.priority <= spec.priority
-                && !self.within.contains(&victim.id)
+                && victim.spec.team != spec.team
+                && victim.priority() <= priority
+                && !self.within.contains(&victim.spec.id)
                 && self.accounts.beyond_guarantee(&placed.team, placed.need);
-            let fair = victim.priority < spec.priority || over;
-            (fair && !gone.contains(run)).then_some(victim.priority)
+            let fair = victim.priority() < priority || over;
+            (fair && !gone.contains(run)).then_some(victim.priority())
         };
         let best = self
             .candidates
--- a/src/placement/preference.rs
+++ b/src/placement/preference.rs
@@ -5,7 +5,7 @@
 use super::zone_rule::ZoneRule;
 use crate::ids::{Amounts, JobId, MachineId};
 use crate::store::replica::LiveJob;
-use crate::wire::Kind;
+use crate::wire::{JobSpec, Kind};
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
@@ -33,6 +33,11 @@
         }
     }
 
+    fn fitting(&self, candidate: &Candidate<'_>, at: usize, spec: &JobSpec) -> u64 {
+        let kept = self.reserve.map_or(Amounts::default(), |r| r[at]);
+        candidate.tasks_that_fit(spec, kept)
+    }
+
     /// The machines that a job may use, best first: its placement group, then those that have
     /// its image, then the fullest, so that others empty and can be returned. While changes are
     /// scarce, those that take most of its tasks at once.
@@ -51,6 +56,7 @@
         let zone = zones.choose(spec, candidates, free);
         let fits = |at: usize, c: &Candidate<'_>| {
             need.fits(free(at))
+                && c.record.tasks(spec) > 0
                 && (!self.cached_only || c.has_image(spec))
                 && c.is_allowed(spec)
                 && !faults.failed_on(id, c.id)
@@ -60,7 +66,7 @@
             // A few tasks more or less don't outweigh an image that has to be fetched.
             let together = self
                 .most
-                .map(|n| Reverse(need.count_in(free(at)).min(n) / TOGETHER));
+                .map(|n| Reverse(self.fitting(c, at, spec).min(n) / TOGETHER));
             // Replicas gather on few machines, so that the others can empty.
             let company = match spec.kind {
                 Kind::Service => Reverse(c.replicas),
--- /dev/null
+++ b/src/placement/record_room.rs
@@ -0,0 +1,96 @@
+//! Room in machines' records: a record must fit into a value of the state service, so there is
+//! room for so many placements, whatever room the machine itself has.
+
+use crate::ids::JobId;
+use crate::store::machine_record::{MachineRecord, size};
+use crate::wire::JobSpec;
+
+/// A job on a record, without its tasks, where its names are not at hand.
+pub(super) const ANY_JOB: usize = 200;
+
+/// The bytes of one machine's record that are left for placements.
+#[derive(Clone, Debug)]
+pub(super) struct RecordRoom {
+    left: usize,
+    /// The last job that was given room here: its next task needs less.
+    last: Option<JobId>,
+}
+
+impl RecordRoom {
+    /// `promised`: what allotments under way will add. `freed`: what goes with the next change.
+    pub fn new(record: &MachineRecord, value_bytes: usize, promised: usize, freed: usize) -> Self {
+        let placed = record.size() - record.done_size() + promised;
+        let most = MachineRecord::room_for_placements(value_bytes);
+        Self {
+            left: (most + freed).saturating_sub(placed),
+            last: None,
+        }
+    }
+
+    fn cost(&self, spec: &JobSpec) -> usize {
+        match self.last.as_ref() == Some(&spec.id) {
+            true => 0,
+            false => size::job(spec),
+        }
+    }
+
+    /// How many tasks of a job the record takes.
+    pub fn tasks(&self, spec: &JobSpec) -> u64 {
+        let left = self.left.saturating_sub(self.cost(spec));
+        (left / size::LARGEST_TASK) as u64
+    }
+
+    /// How many jobs of one task each, alike, the record takes.
+    pub fn single_tasks(&self, largest_job: usize) -> u64 {
+        (self.left / (largest_job + size::LARGEST_TASK)) as u64
+    }
+
+    /// Takes room for one more task, if there is any.
+    pub fn take(&mut self, spec: &JobSpec) -> bool {
+        let fits = self.tasks(spec) > 0;
+        if fits {
+            self.left -= self.cost(spec) + size::LARGEST_TASK;
+            self.last = Some(spec.id.clone());
+        }
+        fits
+    }
+
+    /// Gives room back that was taken for so many tasks.
+    pub fn give_back(&mut self, tasks: u64) {
+        self.left += tasks as usize * size::LARGEST_TASK;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::ids::{Attempt, Run, TaskId};
+
+    /// As many tasks as are given room fit into the value with their ends, however it is filled.
+    #[test]
+    fn what_is_given_room_fits_into_the_value() {
+        for (value_bytes, jobs) in [(2048, 1), (2048, 40), (8192, 3), (1024, 40)] {
+            let mut record = MachineRecord::new("10.0.0.1:9000", &"t".into(), &"z".into(), true);
+            let mut room = RecordRoom::new(&record, value_bytes, 0, 0);
+            let mut placed = 0;
+            for n in 0..400u32 {
+                let mut spec = crate::wire::tests::spec("job-000001");
+                spec.id = format!("job-{:06}", n / (400 / jobs)).as_str().into();
+                if !room.take(&spec) {
+                    break;
+                }
+                let task = TaskId {
+                    job: spec.id.clone(),
+                    index: n,
+                };
+                let attempt = Attempt(9_999_999_999_999_999);
+                record.add(&Run { task, attempt }, &spec);
+                placed += 1;
+            }
+            let most = MachineRecord::room_for_placements(value_bytes);
+            let size = serde_json::to_vec(&record).expect("json").len();
+            assert!(placed >= 3 && size <= most, "{placed} tasks, {size} bytes");
+            assert!(2 * size > most, "{size} of {most} bytes used");
+        }
+    }
+}
--- a/src/placement/replicas.rs
+++ b/src/placement/replicas.rs
@@ -1,6 +1,7 @@
 //! Replicas of services on machines, and the room that is kept for the next ones.
 
 use super::candidates::Candidate;
+use super::record_room::ANY_JOB;
 use crate::ids::Amounts;
 use crate::store::records::PlacedJob;
 use crate::store::replica::{LiveMachine, Replica};
@@ -53,8 +54,11 @@
         .collect();
     order.sort_by_key(|at| (Reverse(candidates[*at].replicas), candidates[*at].id));
     for at in order {
+        let candidate = &candidates[at];
+        // Each is a job of its own on the machine's record.
         let here = need
-            .count_in(candidates[at].room - candidates[at].replicas_use)
+            .count_in(candidate.room - candidate.replicas_use)
+            .min(candidate.record.single_tasks(ANY_JOB))
             .min(count);
         reserve[at] = need.times(here);
         count -= here;
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -56,6 +56,7 @@
     awaiting: BTreeMap<JobId, Time>,
     /// What arrays may cost in changes of machines' records.
     records: Bucket,
+    change_rate: f64,
     pub shortages: Vec<Shortage>,
     pub wall: Wall,
     /// Machines on their way out: they get nothing new.
@@ -73,13 +74,19 @@
             gangs: Gangs::default(),
             preempted: BTreeMap::new(),
             awaiting: BTreeMap::new(),
-            records: Bucket::new(config.state_write_rps * RECORDS_SHARE),
+            records: Bucket::new(config.state.rates.changes * RECORDS_SHARE),
+            change_rate: config.state.rates.changes,
             shortages: Vec::new(),
             wall: Wall(0),
             leaving: BTreeSet::new(),
         }
     }
 
+    /// How many changes the state service takes in a second from all controllers.
+    pub fn set_change_rate(&mut self, changes: f64) {
+        self.change_rate = changes;
+    }
+
     /// Takes a holder's word on its machines. One that the state service refuses alone goes on
     /// speaking of machines that others hold since, and of their silence: that is no news (on
     /// Tramite grown a third of the fleet counted as lost for 30 s).
@@ -132,6 +139,7 @@
     /// One pass over all waiting jobs.
     pub fn drive(&mut self, now: Time, term: Revision, replica: &Replica, out: &mut Vec<Effect>) {
         self.enter(term);
+        self.records.set_rate(now, self.change_rate * RECORDS_SHARE);
         let unanswered = self.ledger.reconcile(now, replica);
         out.extend(unanswered.into_iter().map(Effect::RenewBlock));
         self.forget(now, replica);
--- a/src/placement/shortage.rs
+++ b/src/placement/shortage.rs
@@ -28,7 +28,7 @@
             need: spec.need(),
             tasks,
             seconds: job.plan.as_ref().map_or(spec.estimate_s, |p| p.predicted_s),
-            priority: spec.priority,
+            priority: job.priority(),
             together: spec.kind != Kind::Array,
             cached_only: false,
         }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -112,10 +112,7 @@
     fn job(&mut self, n: u32, change: impl FnOnce(&mut JobSpec)) -> JobSpec {
         let mut spec = crate::wire::tests::spec(&format!("job-{n:06}"));
         change(&mut spec);
-        let record = JobRecord {
-            spec: spec.clone(),
-            accepted: Wall(900_000),
-        };
+        let record = JobRecord::new(spec.clone(), Wall(900_000));
         self.put(keys::job(&spec.id), &record);
         spec
     }
--- a/src/placement/turns.rs
+++ b/src/placement/turns.rs
@@ -79,7 +79,7 @@
     let left = spec.tasks.saturating_sub(job.done_count());
     let room = covered.get(spec.image.as_str()).copied().unwrap_or(0);
     let begun = !job.placed.is_empty() || job.done_count() > 0;
-    let age = Span(wall.0.saturating_sub(job.accepted.0));
+    let age = Span(wall.0.saturating_sub(job.eligible.0));
     spec.kind == Kind::Array
         && fetch >= FETCH_PART * time
         && !spec.one_zone
--- /dev/null
+++ b/src/planning/cancel_dependents.rs
@@ -0,0 +1,37 @@
+//! Passing a cancellation on: whatever needs a cancelled job can never run and is cancelled too.
+//!
+//! A job whose ancestor is cancelled has no tasks, since that ancestor was never done. So nothing
+//! has to be stopped; its final record has to say so.
+
+use crate::ids::JobId;
+use crate::store::keys;
+use crate::store::records::OverRecord;
+use crate::store::replica::Replica;
+use crate::wire::JobState;
+use crate::wire::state::Txn;
+
+/// A final record and the deletion of the live one.
+const CHANGES_EACH: usize = 2;
+
+/// The transaction that cancels the waiting jobs which need a cancelled one, as many as fit, and
+/// which these are. `None`: there are none.
+pub fn cancel_dependents(
+    cancelled: &JobId,
+    replica: &Replica,
+    max_ops: usize,
+) -> Option<(Txn, Vec<JobId>)> {
+    let mut dependents = replica.waiting.descendants(cancelled);
+    dependents.truncate((max_ops / CHANGES_EACH).max(1));
+    let mut txn = Txn::default();
+    for id in &dependents {
+        let job = replica.waiting.get(id)?;
+        let record = OverRecord {
+            state: JobState::Cancelled,
+            tasks: job.spec.tasks,
+        };
+        txn.require(keys::job(id), job.revision);
+        txn.put(keys::over(id), &record, None);
+        txn.delete(keys::job(id));
+    }
+    (!dependents.is_empty()).then_some((txn, dependents))
+}
--- a/src/planning/counter.rs
+++ b/src/planning/counter.rs
@@ -2,36 +2,67 @@
 //! machines' records count beside them. Whoever leads moves the latter into the former, and the
 //! update that finds all tasks done releases the job.
 
+use crate::config::Config;
 use crate::ids::{JobId, Revision};
 use crate::store::keys;
 use crate::store::records::{Bitmap, OverRecord};
 use crate::store::replica::LiveJob;
 use crate::wire::JobState;
 use crate::wire::state::Txn;
+use serde_json::Value;
 use std::collections::BTreeMap;
 
+/// How counters are stored.
+#[derive(Clone, Copy, Debug)]
+pub struct Layout {
+    /// Tasks in one segment: the same for all versions of the program.
+    pub segment_tasks: u32,
+    /// What fits into a value, and into a transaction.
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+}
+
+impl Layout {
+    pub fn new(config: &Config) -> Self {
+        Self {
+            segment_tasks: config.segment_tasks(),
+            value_bytes: config.state.value_bytes,
+            txn_ops: config.state.txn_ops,
+        }
+    }
+}
+
 /// Adds the changes that move a job's counted tasks into its segments, as far as `room` changes
 /// go. `true` if none is left behind.
-pub fn fold(txn: &mut Txn, id: &JobId, job: &LiveJob, segment_tasks: u32, room: usize) -> bool {
+pub fn fold(txn: &mut Txn, id: &JobId, job: &LiveJob, layout: &Layout, room: usize) -> bool {
     let mut changed: BTreeMap<u32, Bitmap> = BTreeMap::new();
     for index in &job.counted {
-        let segment = index / segment_tasks;
+        let segment = index / layout.segment_tasks;
         let bits = changed.entry(segment).or_insert_with(|| {
             let old = job.segments.get(&segment);
             old.map(|s| s.value.clone()).unwrap_or_default()
         });
-        bits.set(index % segment_tasks);
+        bits.set(index % layout.segment_tasks);
     }
-    let all = changed.len() <= room;
+    let mut all = changed.len() <= room;
+    let stored = changed
+        .into_iter()
+        .take(room)
+        .filter_map(|(segment, bits)| {
+            let value = bits.stored(layout.value_bytes);
+            all &= value.is_some();
+            Some((segment, value?))
+        });
+    let stored: Vec<(u32, Value)> = stored.collect();
     // Not before the job's record is known to stand: a counter without one is an orphan.
-    if !changed.is_empty() && room > 0 {
+    if !stored.is_empty() {
         txn.require(keys::job(id), job.revision);
     }
-    for (segment, bits) in changed.into_iter().take(room) {
+    for (segment, value) in stored {
         let old = job.segments.get(&segment);
         let revision = old.map_or(Revision(0), |s| s.revision);
         txn.require(keys::segment(id, segment), revision);
-        txn.put(keys::segment(id, segment), &bits, None);
+        txn.put(keys::segment(id, segment), &value, None);
     }
     all
 }
@@ -40,8 +71,8 @@
 /// the counter's last update: ends that holders have seen and not written yet are in it. Done
 /// and cancelled exclude each other by the condition on the job's record. Segments that find no
 /// room are cleaned up later.
-pub fn release(id: &JobId, job: &LiveJob, segment_tasks: u32, max_ops: usize) -> Option<Txn> {
-    if !job.is_complete(segment_tasks) {
+pub fn release(id: &JobId, job: &LiveJob, layout: &Layout) -> Option<Txn> {
+    if !job.is_complete(layout.segment_tasks) {
         return None;
     }
     let mut txn = Txn::default();
@@ -52,7 +83,7 @@
     };
     txn.put(keys::over(id), &over, None);
     txn.delete(keys::job(id));
-    for segment in job.segments.keys().take(max_ops.saturating_sub(2)) {
+    for segment in job.segments.keys().take(layout.txn_ops.saturating_sub(2)) {
         txn.delete(keys::segment(id, *segment));
     }
     Some(txn)
@@ -117,10 +148,7 @@
         let mut spec = crate::wire::tests::spec("job-000001");
         spec.tasks = tasks;
         let id = spec.id.clone();
-        let record = JobRecord {
-            spec,
-            accepted: crate::ids::Wall(0),
-        };
+        let record = JobRecord::new(spec, crate::ids::Wall(0));
         let mut txn = Txn::default();
         txn.put(keys::job(&id), &record, None);
         assert!(keys_held.run(&txn, replica));
@@ -155,7 +183,8 @@
     #[test]
     fn the_counter_of_the_largest_array_counts_each_task_once_and_releases_once() {
         let config = sample_config();
-        let (size, ops) = (config.segment_tasks(), config.txn_ops);
+        let layout = Layout::new(&config);
+        let ops = layout.txn_ops;
         let (mut keys_held, mut replica) = (Keys::default(), Replica::new(&config));
         let id = accept(&mut keys_held, &mut replica, crate::wire::MAX_TASKS);
         let mut rng = StdRng::seed_from_u64(2);
@@ -171,11 +200,11 @@
             end(&mut keys_held, &mut replica, &machine, &id, &batch);
             model.extend(batch.iter().copied());
             assert_eq!(replica.jobs[&id].done_count() as usize, model.len());
-            let long = replica.machines[&machine].record.done_bound() > config.value_bytes / 4;
+            let long = replica.machines[&machine].record.done_size() > config.state.value_bytes / 4;
             if long || rng.random_range(0..50) == 0 {
                 loop {
                     let mut txn = Txn::default();
-                    let all = fold(&mut txn, &id, &replica.jobs[&id], size, ops - 1);
+                    let all = fold(&mut txn, &id, &replica.jobs[&id], &layout, ops - 1);
                     assert!(txn.changes.len() < ops && txn.conditions.len() <= 4 * ops);
                     folds += 1;
                     assert!(keys_held.run(&txn, &mut replica));
@@ -191,7 +220,7 @@
                 assert_eq!(replica.jobs[&id].done_count() as usize, model.len());
             }
             at += n;
-            let release = release(&id, &replica.jobs[&id], size, ops);
+            let release = release(&id, &replica.jobs[&id], &layout);
             assert_eq!(release.is_some(), model.len() == order.len());
             if let Some(txn) = release {
                 assert!(txn.changes.len() <= ops);
@@ -199,23 +228,23 @@
                 assert!(!keys_held.run(&txn, &mut replica), "released once");
             }
         }
-        assert!(!replica.jobs.contains_key(&id) && keys_held.largest <= config.value_bytes);
+        assert!(!replica.jobs.contains_key(&id) && keys_held.largest <= config.state.value_bytes);
         assert!(folds > 20 && keys_held.held.contains_key(&keys::over(&id)));
     }
 
     #[test]
     fn an_update_from_a_lagging_mirror_fails_instead_of_losing_tasks() {
         let config = sample_config();
-        let size = config.segment_tasks();
+        let layout = Layout::new(&config);
         let (mut keys_held, mut replica) = (Keys::default(), Replica::new(&config));
         let id = accept(&mut keys_held, &mut replica, 4);
         let machine = MachineId::from("vm-1");
         end(&mut keys_held, &mut replica, &machine, &id, &[0]);
         let mut late = Txn::default();
-        assert!(fold(&mut late, &id, &replica.jobs[&id], size, 11));
+        assert!(fold(&mut late, &id, &replica.jobs[&id], &layout, 11));
         end(&mut keys_held, &mut replica, &machine, &id, &[1]);
         let mut first = Txn::default();
-        assert!(fold(&mut first, &id, &replica.jobs[&id], size, 11));
+        assert!(fold(&mut first, &id, &replica.jobs[&id], &layout, 11));
         assert!(keys_held.run(&first, &mut replica));
         assert!(!keys_held.run(&late, &mut replica));
         assert_eq!(replica.jobs[&id].done_count(), 2);
--- a/src/planning/history.rs
+++ b/src/planning/history.rs
@@ -74,8 +74,12 @@
         }
     }
 
-    /// The next record to write, with the fresh samples merged in.
-    pub fn next(&mut self, replica: &Replica) -> Option<(Pipeline, HistoryRecord)> {
+    /// The next record to write, with the fresh samples merged in, as many as fit into a value.
+    pub fn next(
+        &mut self,
+        replica: &Replica,
+        value_bytes: usize,
+    ) -> Option<(Pipeline, HistoryRecord)> {
         let (pipeline, fresh) = self.fresh.pop_first()?;
         let mut record = replica
             .history
@@ -88,6 +92,7 @@
             let excess = samples.len().saturating_sub(SAMPLES);
             samples.drain(..excess);
         }
+        shrink(&mut record, value_bytes);
         Some((pipeline, record))
     }
 
@@ -96,6 +101,21 @@
     }
 }
 
+/// Drops the oldest samples of the types that have most, until a record fits.
+fn shrink(record: &mut HistoryRecord, value_bytes: usize) {
+    let size = |record: &HistoryRecord| serde_json::to_vec(record).map_or(0, |json| json.len());
+    while size(record) > value_bytes {
+        let most = record.types.iter().max_by_key(|(_, samples)| samples.len());
+        let Some(name) = most.map(|(name, _)| name.clone()) else {
+            return;
+        };
+        match record.types.get_mut(&name) {
+            Some(samples) if samples.len() > 1 => drop(samples.remove(0)),
+            _ => drop(record.types.remove(&name)),
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -118,7 +138,7 @@
             }
         );
         let (_, record) = history
-            .next(&Replica::new(&sample_config()))
+            .next(&Replica::new(&sample_config()), 8192)
             .expect("record");
         let on_a = predict(Some(&record), &a, &settings, 7.0);
         assert_eq!(
@@ -129,7 +149,27 @@
             }
         );
         assert!(!predict(Some(&record), &b, &settings, 7.0).sampled);
-        assert!(history.next(&Replica::new(&sample_config())).is_none());
+        assert!(
+            history
+                .next(&Replica::new(&sample_config()), 8192)
+                .is_none()
+        );
+    }
+
+    /// Samples of many types, written under a larger limit, are cut to a smaller one.
+    #[test]
+    fn a_record_that_was_larger_shrinks_to_the_value_limit() {
+        let mut record = HistoryRecord::default();
+        for n in 0..40 {
+            let samples = (0..SAMPLES).map(|s| 1.0 / (n + s + 3) as f32);
+            let name = format!("type-{n:02}");
+            record.types.insert(name.as_str().into(), samples.collect());
+        }
+        for value_bytes in [8192, 2048, 1024, 200] {
+            shrink(&mut record, value_bytes);
+            let size = serde_json::to_vec(&record).expect("json").len();
+            assert!(size <= value_bytes && size > value_bytes / 2, "{size}");
+        }
     }
 
     #[test]
@@ -139,7 +179,7 @@
             history.add(&"p".into(), &"a".into(), 0.0, Span(1000));
         }
         let (_, record) = history
-            .next(&Replica::new(&sample_config()))
+            .next(&Replica::new(&sample_config()), 8192)
             .expect("record");
         assert_eq!(record.types[&TypeName::from("a")].len(), SAMPLES);
     }
--- /dev/null
+++ b/src/planning/pipeline.rs
@@ -0,0 +1,166 @@
+//! Plans for accepted jobs: each is planned within the part of its pipeline that is known and not
+//! finished, as the design's ordinary path has it (the paper's II.D).
+//!
+//! Children are accepted after their parents were planned, so the plan of a pipeline is made anew
+//! with each of them. Jobs that run already keep theirs.
+
+use super::{Graph, Node, plan, predict};
+use crate::ids::{JobId, MachineId};
+use crate::store::records::PlanRecord;
+use crate::store::replica::Replica;
+use crate::wire::{JobSpec, MachineType};
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, VecDeque};
+
+/// Jobs of one pipeline that are planned together; of a larger one those nearest to the new job.
+/// Enough for any plan to be as good, and few enough for planning to cost the same each time.
+const MEMBERS: usize = 64;
+
+/// The plan of a job that was just accepted, and the changed ones of jobs that wait with it.
+pub fn plan_job(id: &JobId, replica: &Replica) -> Vec<(JobId, PlanRecord)> {
+    let members = members(id, replica);
+    let settings = replica.settings();
+    let graph = graph(&members, replica);
+    let made = plan(&graph, settings.group_cap as usize);
+    let mut plans = Vec::new();
+    for (at, member) in members.iter().enumerate() {
+        let Some(spec) = replica.job_spec(member) else {
+            continue;
+        };
+        if member != id && !replica.waiting.contains(member) {
+            continue;
+        }
+        let joined = joined_parent(at, &graph, &made.groups);
+        let record = PlanRecord {
+            type_name: types(spec, replica)
+                .get(made.types[at])
+                .map(|t| t.name.clone()),
+            machines: machines_with_image(spec, replica),
+            predicted_s: graph.nodes[at]
+                .times
+                .get(made.types[at])
+                .map_or(spec.estimate_s, |t| t.seconds),
+            joins: joined.map(|parent| members[parent].clone()),
+        };
+        let is_new =
+            |old: &PlanRecord| (&old.type_name, &old.joins) != (&record.type_name, &record.joins);
+        if member == id || replica.plan(member).is_some_and(is_new) {
+            plans.push((member.clone(), record));
+        }
+    }
+    plans
+}
+
+/// The jobs of a pipeline that are not over, parents first.
+fn members(id: &JobId, replica: &Replica) -> Vec<JobId> {
+    let mut found = BTreeSet::from([id.clone()]);
+    let mut queue = VecDeque::from([id.clone()]);
+    while let Some(next) = queue.pop_front() {
+        let parents = replica
+            .job_spec(&next)
+            .map(|spec| spec.dependencies.clone());
+        let parents = parents.into_iter().flatten();
+        let parents = parents.filter(|p| replica.job_spec(p).is_some());
+        let near = parents.chain(replica.waiting.dependents(&next).cloned());
+        for other in near {
+            if found.len() < MEMBERS && found.insert(other.clone()) {
+                queue.push_back(other);
+            }
+        }
+    }
+    parents_first(found, replica)
+}
+
+fn parents_first(mut open: BTreeSet<JobId>, replica: &Replica) -> Vec<JobId> {
+    let mut ordered = Vec::with_capacity(open.len());
+    while !open.is_empty() {
+        let free = |id: &&JobId| {
+            let spec = replica.job_spec(id);
+            let mut parents = spec.into_iter().flat_map(|s| &s.dependencies);
+            !parents.any(|p| open.contains(p))
+        };
+        let mut next: Vec<JobId> = open.iter().filter(free).cloned().collect();
+        if next.is_empty() {
+            // Only accepted jobs can be named, so there is no cycle.
+            next = open.iter().cloned().collect();
+        }
+        for id in next {
+            open.remove(&id);
+            ordered.push(id);
+        }
+    }
+    ordered
+}
+
+fn graph(members: &[JobId], replica: &Replica) -> Graph {
+    let mut graph = Graph::default();
+    for (at, id) in members.iter().enumerate() {
+        let Some(spec) = replica.job_spec(id) else {
+            continue;
+        };
+        let place = |parent: &JobId| members[..at].iter().position(|m| m == parent);
+        graph.nodes.push(Node {
+            parents: spec.dependencies.iter().filter_map(place).collect(),
+            ..node(spec, replica)
+        });
+    }
+    graph
+}
+
+/// A job by itself, with its predicted times on the types that it may use, strongest first.
+fn node(spec: &JobSpec, replica: &Replica) -> Node {
+    let settings = replica.settings();
+    let history = replica.history.get(&spec.pipeline).map(|h| &h.value);
+    let types = types(spec, replica).into_iter();
+    Node {
+        parents: Vec::new(),
+        output: spec.tasks,
+        times: types
+            .map(|t| predict(history, &t.name, &settings, spec.estimate_s))
+            .collect(),
+    }
+}
+
+/// The types that a job may use, strongest first.
+fn types<'a>(spec: &JobSpec, replica: &'a Replica) -> Vec<&'a MachineType> {
+    let mut allowed: Vec<&MachineType> = replica
+        .catalog
+        .iter()
+        .flat_map(|c| &c.value.types)
+        .filter(|t| spec.types.as_ref().is_none_or(|l| l.contains(&t.name)))
+        .filter(|t| spec.need().fits(t.room()))
+        .collect();
+    allowed.sort_by(|a, b| {
+        (b.cpus, b.gpus, b.memory_gb)
+            .partial_cmp(&(a.cpus, a.gpus, a.memory_gb))
+            .unwrap_or(std::cmp::Ordering::Equal)
+    });
+    allowed
+}
+
+/// The parent whose placement group a job shares: the one with the largest output.
+fn joined_parent(at: usize, graph: &Graph, groups: &[usize]) -> Option<usize> {
+    let parents = graph.nodes[at].parents.iter().copied();
+    let mates = parents.filter(|parent| groups[*parent] == groups[at]);
+    mates.max_by_key(|parent| (graph.nodes[*parent].output, Reverse(*parent)))
+}
+
+/// The group of the pipeline's last run with the same image, where that still stands.
+fn machines_with_image(spec: &JobSpec, replica: &Replica) -> Vec<MachineId> {
+    let mut machines: Vec<(usize, &MachineId)> = replica
+        .machines
+        .iter()
+        .filter_map(|(id, m)| {
+            let at = m.images.iter().rev().position(|(i, _)| *i == spec.image)?;
+            let record = &m.record;
+            spec.allows(&record.type_name, &record.zone, record.spot)
+                .then_some((at, id))
+        })
+        .collect();
+    machines.sort();
+    let first = machines.into_iter().take(PlanRecord::MACHINES);
+    first.map(|(_, id)| id.clone()).collect()
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/sim/ends.rs
+++ b/src/sim/ends.rs
@@ -4,7 +4,7 @@
 use super::outside::StoreModel;
 use crate::config::tests::sample_config;
 use crate::ids::{JobId, MachineId, Revision, Wall};
-use crate::planning::counter;
+use crate::planning::counter::{self, Layout};
 use crate::store::records::{JobRecord, MachineRecord, OverRecord};
 use crate::store::{TxnOutcome, keys};
 use crate::wire::JobState;
@@ -27,10 +27,7 @@
 ];
 
 fn submission(id: &JobId) -> Txn {
-    let record = JobRecord {
-        spec: crate::wire::tests::spec(id.as_str()),
-        accepted: Wall(1),
-    };
+    let record = JobRecord::new(crate::wire::tests::spec(id.as_str()), Wall(1));
     let mut txn = Txn::default();
     txn.require(keys::job(id), Revision(0));
     txn.require(keys::over(id), Revision(0));
@@ -59,8 +56,8 @@
     txn.put(keys::machine(&MachineId::from("vm-1")), &record, None);
     store.txn(&txn);
     let replica = store.snapshot();
-    let (size, most) = (config.segment_tasks(), config.txn_ops);
-    counter::release(id, &replica.jobs[id], size, most).expect("all tasks are done")
+    let layout = Layout::new(&config);
+    counter::release(id, &replica.jobs[id], &layout).expect("all tasks are done")
 }
 
 fn standing(store: &StoreModel, id: &JobId) -> Option<JobState> {
--- a/src/sim/growth.rs
+++ b/src/sim/growth.rs
@@ -42,7 +42,8 @@
             TxnOwner::Holder(_) => ("machines", Class::Place),
             TxnOwner::Leadership => ("leadership", Class::Grant),
             TxnOwner::Plans(_) => ("plans", Class::Record),
-            TxnOwner::Release(_) => ("releases", Class::Place),
+            TxnOwner::Release(_) | TxnOwner::Dependent(_) => ("releases", Class::Place),
+            TxnOwner::CancelledDependents(_) => ("cancelled", Class::Accept),
             TxnOwner::Catalog | TxnOwner::Nobody => ("other", Class::Place),
         };
         let changes = txn.changes.len() as u64;
@@ -83,10 +84,7 @@
         }
         let spec = JobSpec::parse(body.to_string().as_bytes()).expect("valid");
         let mut txn = Txn::default();
-        let record = JobRecord {
-            spec: spec.clone(),
-            accepted: crate::ids::Wall(self.now.0),
-        };
+        let record = JobRecord::new(spec.clone(), crate::ids::Wall(self.now.0));
         txn.put(keys::job(&spec.id), &record, None);
         self.store.txn(&txn);
         self.jobs.insert(spec.id.clone(), spec);
--- a/src/sim/users.rs
+++ b/src/sim/users.rs
@@ -50,10 +50,7 @@
         txn.require(keys::over(&spec.id), Revision(0));
         txn.put(
             keys::job(&spec.id),
-            &JobRecord {
-                spec: spec.clone(),
-                accepted: crate::ids::Wall(self.now.0),
-            },
+            &JobRecord::new(spec.clone(), crate::ids::Wall(self.now.0)),
             None,
         );
         self.ask(txn);
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -488,8 +488,9 @@
             self.after(0, What::Boot(id));
         }
         for node in &mut self.nodes {
-            node.config.state_write_rps = changes;
-            node.config.state_rps = 200.0;
+            node.config.state.rates.changes = changes;
+            node.config.state.rates.requests = 200.0;
+            node.config.state.least_rates = node.config.state.rates;
             for team in node.config.teams.values_mut() {
                 *team = Team::of_cpus(10_000_000, 30_000_000);
             }
@@ -692,7 +693,7 @@
         let mut txn = Txn::default();
         txn.put(
             keys::member(&member),
-            &MemberRecord { incarnation, grant },
+            &MemberRecord::new(incarnation, grant),
             Some(grant),
         );
         self.store.txn(&txn);
--- /dev/null
+++ b/src/store/machine_record.rs
@@ -0,0 +1,161 @@
+//! The record of a machine: what is placed there, and what has completed there.
+
+pub mod size;
+
+use crate::ids::{Amounts, Attempt, Image, JobId, Run, TaskId, TeamId, TypeName, Zone};
+use crate::wire::JobSpec;
+use serde::{Deserialize, Serialize};
+
+/// A job's tasks on one machine. The needs stand here as well, so that a cancelled job's
+/// tasks still count while they are not proved gone.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PlacedJob {
+    pub job: JobId,
+    pub team: TeamId,
+    pub need: Amounts,
+    pub image: Image,
+    pub tasks: Vec<(u32, Attempt)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    pub addr: String,
+    pub type_name: TypeName,
+    pub zone: Zone,
+    pub spot: bool,
+    pub jobs: Vec<PlacedJob>,
+    /// Tasks that completed here and may not stand in their job's own counter yet: this record
+    /// has to be written for them anyway, so counting them costs no change of its own. Never
+    /// skipped: records also travel between controllers, where each field has its place.
+    #[serde(default)]
+    pub done: Vec<DoneTasks>,
+}
+
+/// Finished tasks of one job, as ranges from first to last.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DoneTasks {
+    pub job: JobId,
+    pub ranges: Vec<(u32, u32)>,
+}
+
+impl DoneTasks {
+    pub fn tasks(&self) -> impl Iterator<Item = u32> {
+        self.ranges.iter().flat_map(|(first, last)| *first..=*last)
+    }
+
+    fn add(&mut self, first: u32, last: u32) {
+        let at = self.ranges.partition_point(|(f, _)| *f < first);
+        self.ranges.insert(at, (first, last));
+        self.ranges.dedup_by(|next, kept| {
+            let joined = next.0 <= kept.1.saturating_add(1);
+            if joined {
+                kept.1 = kept.1.max(next.1);
+            }
+            joined
+        });
+    }
+}
+
+impl MachineRecord {
+    /// A machine on which nothing was placed yet.
+    pub fn new(addr: &str, type_name: &TypeName, zone: &Zone, spot: bool) -> Self {
+        Self {
+            addr: addr.to_owned(),
+            type_name: type_name.clone(),
+            zone: zone.clone(),
+            spot,
+            jobs: Vec::new(),
+            done: Vec::new(),
+        }
+    }
+
+    /// Counts finished tasks; those that are counted already change nothing.
+    pub fn count(&mut self, job: &JobId, first: u32, last: u32) {
+        match self.done.iter_mut().find(|d| d.job == *job) {
+            Some(done) => done.add(first, last),
+            None => self.done.push(DoneTasks {
+                job: job.clone(),
+                ranges: vec![(first, last)],
+            }),
+        }
+    }
+
+    /// The stored size of what was counted here.
+    pub fn done_size(&self) -> usize {
+        self.done.iter().map(size::done).sum()
+    }
+
+    pub fn used(&self) -> Amounts {
+        self.jobs.iter().fold(Amounts::default(), |sum, j| {
+            sum + j.need.times(j.tasks.len() as u64)
+        })
+    }
+
+    pub fn runs(&self) -> impl Iterator<Item = (Run, &PlacedJob)> {
+        self.jobs.iter().flat_map(|placed| {
+            placed.tasks.iter().map(move |(index, attempt)| {
+                let run = Run {
+                    task: TaskId {
+                        job: placed.job.clone(),
+                        index: *index,
+                    },
+                    attempt: *attempt,
+                };
+                (run, placed)
+            })
+        })
+    }
+
+    pub fn holds(&self, run: &Run) -> bool {
+        self.jobs
+            .iter()
+            .any(|p| p.job == run.task.job && p.tasks.contains(&(run.task.index, run.attempt)))
+    }
+
+    pub fn add(&mut self, run: &Run, spec: &JobSpec) {
+        let entry = (run.task.index, run.attempt);
+        match self.jobs.iter_mut().find(|p| p.job == run.task.job) {
+            Some(placed) => placed.tasks.push(entry),
+            None => self.jobs.push(PlacedJob {
+                job: run.task.job.clone(),
+                team: spec.team.clone(),
+                need: spec.need(),
+                image: spec.image.clone(),
+                tasks: vec![entry],
+            }),
+        }
+    }
+
+    pub fn remove(&mut self, run: &Run) {
+        for placed in &mut self.jobs {
+            if placed.job == run.task.job {
+                placed.tasks.retain(|t| *t != (run.task.index, run.attempt));
+            }
+        }
+        self.jobs.retain(|p| !p.tasks.is_empty());
+    }
+
+    /// The stored size, a few bytes too large at most, so that a record never outgrows its value.
+    pub fn size(&self) -> usize {
+        let placed: usize = self.jobs.iter().map(size::placed).sum();
+        size::head(self) + placed + self.done_size()
+    }
+
+    /// What a placement adds to the stored size.
+    pub fn size_of_adding(&self, run: &Run, spec: &JobSpec) -> usize {
+        let task = size::task(run.task.index, run.attempt);
+        let stands = self.jobs.iter().any(|p| p.job == run.task.job);
+        task + if stands { 0 } else { size::job(spec) }
+    }
+
+    /// The stored size up to which placements may be added to a record that may have so many bytes:
+    /// their ends need room as well.
+    pub fn room_for_placements(value_bytes: usize) -> usize {
+        value_bytes - value_bytes / Self::PART_FOR_ENDS
+    }
+
+    const PART_FOR_ENDS: usize = 4;
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/store/machine_record/size.rs
@@ -0,0 +1,75 @@
+//! The sizes of the parts of a machine's record as they are stored, as JSON.
+//!
+//! Each part is counted with the comma behind it, so a sum is a few bytes too large at most.
+
+use super::{DoneTasks, MachineRecord, PlacedJob};
+use crate::ids::{Amounts, Attempt};
+use crate::wire::JobSpec;
+
+/// The names and signs of a record without its texts, jobs and finished tasks.
+const HEAD: usize = r#"{"addr":,"type_name":,"zone":,"spot":false,"jobs":[],"done":[]}"#.len();
+const PLACED: usize = r#"{"job":,"team":,"need":,"image":,"tasks":[]},"#.len();
+const NEED: usize = r#"{"cpus":,"gpus":,"memory":}"#.len();
+const PAIR: usize = "[,],".len();
+const DONE: usize = r#"{"job":,"ranges":[]},"#.len();
+const QUOTES: usize = 2;
+
+/// A placed task whose attempt is a number of up to sixteen digits. Attempts lead with a revision
+/// of the state service, so they get there after billions of changes; the holder counts exactly.
+pub const LARGEST_TASK: usize = PAIR + "99999".len() + "9999999999999999".len();
+
+fn number(value: u64) -> usize {
+    value.checked_ilog10().unwrap_or(0) as usize + 1
+}
+
+fn text(text: &str) -> usize {
+    let escaped = |byte: u8| match byte {
+        b'"' | b'\\' => 2,
+        0..0x20 => 6,
+        _ => 1,
+    };
+    QUOTES + text.bytes().map(escaped).sum::<usize>()
+}
+
+fn need(need: Amounts) -> usize {
+    NEED + number(need.cpus) + number(need.gpus) + number(need.memory)
+}
+
+/// A record on which nothing stands.
+pub fn head(record: &MachineRecord) -> usize {
+    let texts = [
+        record.addr.as_str(),
+        record.type_name.as_str(),
+        record.zone.as_str(),
+    ];
+    HEAD + texts.into_iter().map(text).sum::<usize>()
+}
+
+/// A job on a record, without its tasks.
+pub fn job(spec: &JobSpec) -> usize {
+    let texts = [spec.id.as_str(), spec.team.as_str(), spec.image.as_str()];
+    PLACED + need(spec.need()) + texts.into_iter().map(text).sum::<usize>()
+}
+
+pub fn task(index: u32, attempt: Attempt) -> usize {
+    PAIR + number(index.into()) + number(attempt.0)
+}
+
+pub fn placed(placed: &PlacedJob) -> usize {
+    let names = [
+        placed.job.as_str(),
+        placed.team.as_str(),
+        placed.image.as_str(),
+    ];
+    let names: usize = names.into_iter().map(text).sum();
+    let tasks = placed.tasks.iter();
+    let tasks: usize = tasks.map(|(index, attempt)| task(*index, *attempt)).sum();
+    PLACED + need(placed.need) + names + tasks
+}
+
+pub fn done(done: &DoneTasks) -> usize {
+    let range =
+        |(first, last): &(u32, u32)| PAIR + number((*first).into()) + number((*last).into());
+    let ranges: usize = done.ranges.iter().map(range).sum();
+    DONE + text(done.job.as_str()) + ranges
+}
--- /dev/null
+++ b/src/store/machine_record/tests.rs
@@ -0,0 +1,61 @@
+use super::*;
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(6), failure_persistence: None, ..ProptestConfig::default() })]
+    /// The model is a set; ranges stay in order, apart, and as few as can be.
+    #[test]
+    fn counted_ranges_are_a_set(steps in proptest::collection::vec((0u32..80, 0u32..6), 1..60)) {
+        let mut done = DoneTasks { job: "job-1".into(), ranges: Vec::new() };
+        let mut model = BTreeSet::new();
+        for (first, more) in steps {
+            done.add(first, first + more);
+            model.extend(first..=first + more);
+            prop_assert_eq!(done.tasks().collect::<Vec<_>>(), model.iter().copied().collect::<Vec<_>>());
+            prop_assert!(done.ranges.windows(2).all(|w| w[0].1 + 1 < w[1].0));
+        }
+    }
+}
+
+#[test]
+fn a_records_size_never_passes_its_bound() {
+    let spec = crate::wire::tests::spec("job-00000000000000000001");
+    let mut record = MachineRecord::new("10.0.0.1:9000", &"t".into(), &"z".into(), true);
+    for index in 0..200 {
+        record.count(&spec.id, 90_000 + 2 * index, 90_000 + 2 * index);
+        let run = Run {
+            task: TaskId {
+                job: spec.id.clone(),
+                index: 99_000 + index,
+            },
+            attempt: Attempt(u64::MAX >> 4),
+        };
+        record.add(&run, &spec);
+    }
+    let size = serde_json::to_vec(&record).expect("json").len();
+    assert!(size <= record.size(), "{size}");
+    assert!(record.size() <= size + 8, "{size}");
+}
+
+/// Placements that were announced add no more than they were said to.
+#[test]
+fn what_a_placement_adds_is_known_before() {
+    let mut spec = crate::wire::tests::spec("job-000001");
+    spec.team = "a\\\"team".into();
+    let mut record = MachineRecord::new("10.0.0.1:9000", &"t".into(), &"z".into(), true);
+    for index in [0, 9, 10, 99_999] {
+        let run = Run {
+            task: TaskId {
+                job: spec.id.clone(),
+                index,
+            },
+            attempt: Attempt(u64::MAX >> (index % 60)),
+        };
+        let announced = record.size() + record.size_of_adding(&run, &spec);
+        record.add(&run, &spec);
+        let size = serde_json::to_vec(&record).expect("json").len();
+        assert_eq!(record.size(), announced);
+        assert!((size..size + 8).contains(&announced), "{announced} {size}");
+    }
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -2,10 +2,15 @@
 //! what it holds.
 
 pub mod keys;
+pub mod machine_record;
+mod rates;
 pub mod records;
 pub mod replica;
 pub mod tokens;
+pub mod urgency;
+pub mod waiting;
 
+use crate::config::{StateLimits, StateRates};
 use crate::http::{Client, Failure, Method};
 use crate::ids::{GrantId, Revision, Time};
 use crate::wire::path;
@@ -13,6 +18,7 @@
     Events, Grant, Item, Page, Txn, TxnAnswer, extend_path, follow_path, grant_path, grant_request,
     key_path, page_path,
 };
+use rates::RateChoice;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -29,6 +35,9 @@
     Failed(Vec<String>, Revision),
     /// Certainly not executed.
     Refused,
+    /// Certainly not executed, and never will be as it is: too large for the service, or under a
+    /// grant that has ended.
+    Invalid,
     /// May have been executed, or may still be.
     Unknown,
 }
@@ -46,6 +55,9 @@
     addr: SocketAddr,
     requests: RefCell<Bucket>,
     writes: RefCell<Bucket>,
+    rates: RefCell<RateChoice>,
+    /// This controller's part of the rates.
+    share: f64,
     started: Instant,
     /// Calls in a row that failed: while any, only probes are worth their wait.
     failures: Cell<u32>,
@@ -74,20 +86,22 @@
 }
 
 impl Store {
-    /// `answer_bytes`: the largest answer that is read. Pages of a list are bounded by the service,
-    /// an answer of changes is not.
+    /// `share`: this controller's part of the service's rates. `answer_bytes`: the largest answer
+    /// that is read. Pages of a list are bounded by the service, an answer of changes is not.
     pub fn new(
         addr: SocketAddr,
-        rps: f64,
-        write_rps: f64,
+        limits: &StateLimits,
+        share: f64,
         answer_bytes: usize,
         started: Instant,
     ) -> Self {
         Self {
             client: Client::new(answer_bytes, 1),
             addr,
-            requests: RefCell::new(Bucket::new(rps)),
-            writes: RefCell::new(Bucket::new(write_rps)),
+            requests: RefCell::new(Bucket::new(limits.rates.requests * share)),
+            writes: RefCell::new(Bucket::new(limits.rates.changes * share)),
+            rates: RefCell::new(RateChoice::new(limits.rates, limits.least_rates)),
+            share,
             started,
             failures: Cell::new(0),
             counters: Counters::default(),
@@ -118,8 +132,25 @@
         longest.mul_f64((1.0 - part).clamp(0.25, 1.0))
     }
 
+    /// What the service takes in a second from all controllers, as far as it is known.
+    pub fn rates(&self) -> StateRates {
+        self.rates.borrow().current(self.now())
+    }
+
+    fn follow_rates(&self, now: Time) {
+        let rates = self.rates.borrow().current(now);
+        let (requests, writes) = (&self.requests, &self.writes);
+        requests
+            .borrow_mut()
+            .set_rate(now, rates.requests * self.share);
+        writes
+            .borrow_mut()
+            .set_rate(now, rates.changes * self.share);
+    }
+
     fn admit(&self, class: Class, writes: usize) -> bool {
         let now = self.now();
+        self.follow_rates(now);
         let ok = self.requests.borrow_mut().allows(now, 1.0, class)
             && self.writes.borrow_mut().allows(now, writes as f64, class);
         let mut classes = self.counters.classes.borrow_mut();
@@ -155,6 +186,7 @@
             Ok(response) => {
                 if response.status == 429 {
                     bump(&self.counters.refused);
+                    self.rates.borrow_mut().refused(self.now());
                     self.requests.borrow_mut().exhaust(self.now());
                     self.writes.borrow_mut().exhaust(self.now());
                 }
@@ -174,7 +206,7 @@
         }
         let body = match serde_json::to_vec(txn) {
             Ok(body) if body.len() <= 64 * 1024 => body,
-            _ => return TxnOutcome::Refused,
+            _ => return TxnOutcome::Invalid,
         };
         match self.call(Method::Post, path::TXN, &body, CALL).await {
             Ok((200, body)) => match serde_json::from_slice::<TxnAnswer>(&body) {
@@ -185,6 +217,10 @@
                 let answer: TxnAnswer = serde_json::from_slice(&body).unwrap_or_default();
                 TxnOutcome::Failed(answer.failed, answer.revision)
             }
+            Ok((400, body)) => {
+                tracing::warn!(body = %String::from_utf8_lossy(&body), "transaction is malformed or too large");
+                TxnOutcome::Invalid
+            }
             Ok((400..=499 | 503, body)) => {
                 tracing::debug!(body = %String::from_utf8_lossy(&body), "transaction refused");
                 TxnOutcome::Refused
@@ -293,7 +329,8 @@
                     &serde_json::json!({"edition": 9, "filler": events, "events": []}),
                 )
             }));
-            let store = Store::new(addr, 1000.0, 100.0, 2000, Instant::now());
+            let config = crate::config::tests::sample_config();
+            let store = Store::new(addr, &config.state, 1.0, 2000, Instant::now());
             let follow = |after| store.follow(keys::LIVE, Revision(after), Duration::ZERO);
             assert_eq!(follow(1).await.err(), Some(StoreError::Gone));
             assert_eq!(follow(2).await.map(|e| e.revision).ok(), Some(Revision(9)));
--- /dev/null
+++ b/src/store/rates.rs
@@ -0,0 +1,98 @@
+//! Which of the state service's rates is followed: the larger of the present and the later ones
+//! until the service refuses, then the smaller.
+//!
+//! A refusal can have other causes, since controllers share the rates without asking one another.
+//! So the larger rates are tried again after a while, and after a longer one each time.
+
+use crate::config::StateRates;
+use crate::ids::{Span, Time};
+
+/// The larger rates are tried again after this at first.
+const FIRST_PAUSE: Span = Span(30_000);
+/// Never later than this.
+const LONGEST_PAUSE: Span = Span(600_000);
+
+#[derive(Clone, Copy, Debug)]
+struct Lowered {
+    until: Time,
+    pause: Span,
+}
+
+#[derive(Debug)]
+pub struct RateChoice {
+    larger: StateRates,
+    least: StateRates,
+    lowered: Option<Lowered>,
+}
+
+impl RateChoice {
+    pub fn new(larger: StateRates, least: StateRates) -> Self {
+        Self {
+            larger,
+            least,
+            lowered: None,
+        }
+    }
+
+    fn is_lowered(&self, now: Time) -> bool {
+        self.lowered.is_some_and(|l| now < l.until)
+    }
+
+    pub fn current(&self, now: Time) -> StateRates {
+        match self.is_lowered(now) {
+            true => self.least,
+            false => self.larger,
+        }
+    }
+
+    /// The service has refused for the rate, or for a size that only the later limits refuse.
+    pub fn refused(&mut self, now: Time) {
+        if self.larger == self.least || self.is_lowered(now) {
+            return;
+        }
+        let pause = match self.lowered {
+            None => FIRST_PAUSE,
+            Some(last) => Span(2 * last.pause.0).min(LONGEST_PAUSE),
+        };
+        self.lowered = Some(Lowered {
+            until: now + pause,
+            pause,
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn rates(changes: f64) -> StateRates {
+        StateRates {
+            requests: 100.0,
+            changes,
+        }
+    }
+
+    #[test]
+    fn the_larger_rate_is_followed_until_a_refusal_and_then_tried_seldom() {
+        let mut choice = RateChoice::new(rates(50.0), rates(35.0));
+        let mut refusals = 0;
+        for second in 0..3600 {
+            let now = Time(second * 1000);
+            let limited = second >= 100;
+            if limited && choice.current(now).changes > 35.0 {
+                choice.refused(now);
+                refusals += 1;
+            }
+            let expected = if limited { 35.0 } else { 50.0 };
+            assert_eq!(choice.current(now).changes, expected, "at {second}");
+        }
+        assert!((2..12).contains(&refusals), "{refusals}");
+    }
+
+    #[test]
+    fn without_later_limits_nothing_changes() {
+        let mut choice = RateChoice::new(rates(50.0), rates(50.0));
+        choice.refused(Time(1));
+        assert_eq!(choice.current(Time(2)), rates(50.0));
+    }
+}
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -1,11 +1,13 @@
 //! The records' contents.
 
-use crate::ids::{
-    Amounts, Attempt, GrantId, Image, Incarnation, JobId, MachineId, Member, Revision, Run, TaskId,
-    TeamId, TypeName, Wall, Zone,
-};
+pub use super::machine_record::{DoneTasks, MachineRecord, PlacedJob};
+
+use crate::ids::{GrantId, Incarnation, JobId, MachineId, Member, Revision, TypeName, Wall};
 use crate::wire::{JobSpec, JobState};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD_NO_PAD;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use std::collections::BTreeMap;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -18,6 +20,33 @@
 pub struct MemberRecord {
     pub incarnation: Incarnation,
     pub grant: GrantId,
+    /// What the controller's program understands; 0 where it does not say so.
+    #[serde(default)]
+    pub version: ProgramVersion,
+}
+
+impl MemberRecord {
+    /// The record of a controller that runs this program.
+    pub fn new(incarnation: Incarnation, grant: GrantId) -> Self {
+        Self {
+            incarnation,
+            grant,
+            version: ProgramVersion::CURRENT,
+        }
+    }
+}
+
+/// What a controller's program understands of records and requests. Bound to its incarnation: a
+/// controller that restarts as an earlier program writes its record without it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ProgramVersion(pub u32);
+
+impl ProgramVersion {
+    /// The first that knows dependent jobs.
+    pub const DEPENDENCIES: Self = Self(1);
+    /// This program's.
+    pub const CURRENT: Self = Self::DEPENDENCIES;
 }
 
 /// A lease of a block; attached to its holder's grant.
@@ -33,11 +62,25 @@
 pub struct JobRecord {
     pub spec: JobSpec,
     pub accepted: Wall,
+    /// When the last job that this one depends on was done. `None` while it waits, and for jobs
+    /// that depend on nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub released: Option<Wall>,
 }
 
 impl JobRecord {
+    /// A job as it is accepted.
     pub fn new(spec: JobSpec, accepted: Wall) -> Self {
-        Self { spec, accepted }
+        Self {
+            spec,
+            accepted,
+            released: None,
+        }
+    }
+
+    /// Whether jobs that it depends on may not be done yet: none of its tasks may start.
+    pub fn is_waiting(&self) -> bool {
+        !self.spec.dependencies.is_empty() && self.released.is_none()
     }
 }
 
@@ -48,153 +91,6 @@
     pub tasks: u32,
 }
 
-/// A job's tasks on one machine. The needs stand here as well, so that a cancelled job's
-/// tasks still count while they are not proved gone.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PlacedJob {
-    pub job: JobId,
-    pub team: TeamId,
-    pub need: Amounts,
-    pub image: Image,
-    pub tasks: Vec<(u32, Attempt)>,
-}
-
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct MachineRecord {
-    pub addr: String,
-    pub type_name: TypeName,
-    pub zone: Zone,
-    pub spot: bool,
-    pub jobs: Vec<PlacedJob>,
-    /// Tasks that completed here and may not stand in their job's own counter yet: this record
-    /// has to be written for them anyway, so counting them costs no change of its own. Never
-    /// skipped: records also travel between controllers, where each field has its place.
-    #[serde(default)]
-    pub done: Vec<DoneTasks>,
-}
-
-/// Finished tasks of one job, as ranges from first to last.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct DoneTasks {
-    pub job: JobId,
-    pub ranges: Vec<(u32, u32)>,
-}
-
-impl DoneTasks {
-    pub fn tasks(&self) -> impl Iterator<Item = u32> {
-        self.ranges.iter().flat_map(|(first, last)| *first..=*last)
-    }
-
-    fn add(&mut self, first: u32, last: u32) {
-        let at = self.ranges.partition_point(|(f, _)| *f < first);
-        self.ranges.insert(at, (first, last));
-        self.ranges.dedup_by(|next, kept| {
-            let joined = next.0 <= kept.1.saturating_add(1);
-            if joined {
-                kept.1 = kept.1.max(next.1);
-            }
-            joined
-        });
-    }
-}
-
-impl MachineRecord {
-    /// A machine on which nothing was placed yet.
-    pub fn new(addr: &str, type_name: &TypeName, zone: &Zone, spot: bool) -> Self {
-        Self {
-            addr: addr.to_owned(),
-            type_name: type_name.clone(),
-            zone: zone.clone(),
-            spot,
-            jobs: Vec::new(),
-            done: Vec::new(),
-        }
-    }
-
-    /// Counts finished tasks; those that are counted already change nothing.
-    pub fn count(&mut self, job: &JobId, first: u32, last: u32) {
-        match self.done.iter_mut().find(|d| d.job == *job) {
-            Some(done) => done.add(first, last),
-            None => self.done.push(DoneTasks {
-                job: job.clone(),
-                ranges: vec![(first, last)],
-            }),
-        }
-    }
-
-    /// A bound on the stored size of what was counted here.
-    pub fn done_bound(&self) -> usize {
-        let size = |d: &DoneTasks| 40 + d.job.as_str().len() + 16 * d.ranges.len();
-        self.done.iter().map(size).sum()
-    }
-
-    pub fn used(&self) -> Amounts {
-        self.jobs.iter().fold(Amounts::default(), |sum, j| {
-            sum + j.need.times(j.tasks.len() as u64)
-        })
-    }
-
-    pub fn runs(&self) -> impl Iterator<Item = (Run, &PlacedJob)> {
-        self.jobs.iter().flat_map(|placed| {
-            placed.tasks.iter().map(move |(index, attempt)| {
-                let run = Run {
-                    task: TaskId {
-                        job: placed.job.clone(),
-                        index: *index,
-                    },
-                    attempt: *attempt,
-                };
-                (run, placed)
-            })
-        })
-    }
-
-    pub fn holds(&self, run: &Run) -> bool {
-        self.jobs
-            .iter()
-            .any(|p| p.job == run.task.job && p.tasks.contains(&(run.task.index, run.attempt)))
-    }
-
-    pub fn add(&mut self, run: &Run, spec: &JobSpec) {
-        let entry = (run.task.index, run.attempt);
-        match self.jobs.iter_mut().find(|p| p.job == run.task.job) {
-            Some(placed) => placed.tasks.push(entry),
-            None => self.jobs.push(PlacedJob {
-                job: run.task.job.clone(),
-                team: spec.team.clone(),
-                need: spec.need(),
-                image: spec.image.clone(),
-                tasks: vec![entry],
-            }),
-        }
-    }
-
-    pub fn remove(&mut self, run: &Run) {
-        for placed in &mut self.jobs {
-            if placed.job == run.task.job {
-                placed.tasks.retain(|t| *t != (run.task.index, run.attempt));
-            }
-        }
-        self.jobs.retain(|p| !p.tasks.is_empty());
-    }
-
-    /// A bound on the stored size, so that a record never outgrows its value.
-    pub fn size_bound(&self) -> usize {
-        let names: usize = self
-            .jobs
-            .iter()
-            .map(|p| {
-                160 + p.job.as_str().len()
-                    + p.team.as_str().len()
-                    + p.image.as_str().len()
-                    + 28 * p.tasks.len()
-            })
-            .sum();
-        let head = self.addr.len() + self.type_name.as_str().len() + self.zone.as_str().len();
-        300 + head + names + self.done_bound()
-    }
-}
-
 /// Plans that were made at about the same time: one change for all of them.
 pub type PlanBatch = BTreeMap<JobId, PlanRecord>;
 
@@ -204,6 +100,14 @@
     pub type_name: Option<TypeName>,
     pub machines: Vec<MachineId>,
     pub predicted_s: f64,
+    /// The job whose placement group this one shares, among those that it needs.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub joins: Option<JobId>,
+}
+
+impl PlanRecord {
+    /// Machines named in a plan; more would only make its record larger.
+    pub const MACHINES: usize = 12;
 }
 
 /// Run times of a pipeline's tasks as parts of the estimates, by machine type, oldest first.
@@ -236,28 +140,58 @@
     pub fn count(&self) -> u32 {
         self.words.iter().map(|w| w.count_ones()).sum()
     }
+
+    /// As it is stored in a value of so many bytes: in hexadecimal digits, as all versions read it,
+    /// or where these don't fit in base64. `None`: neither fits.
+    pub fn stored(&self, value_bytes: usize) -> Option<Value> {
+        let fits = |text: &String| text.len() + QUOTES <= value_bytes;
+        let text = Some(self.digits()).filter(fits);
+        let text = text.or_else(|| Some(self.base64()).filter(fits));
+        text.map(Value::String)
+    }
+
+    fn digits(&self) -> String {
+        self.words.iter().map(|w| format!("{w:016x}")).collect()
+    }
+
+    fn base64(&self) -> String {
+        let bytes: Vec<u8> = self.words.iter().flat_map(|w| w.to_be_bytes()).collect();
+        format!("{BASE64_MARK}{}", STANDARD_NO_PAD.encode(bytes))
+    }
+
+    fn from_digits(text: &str) -> Option<Vec<u64>> {
+        let chunks = text.as_bytes().chunks(16);
+        let word = |chunk| u64::from_str_radix(std::str::from_utf8(chunk).ok()?, 16).ok();
+        chunks.map(word).collect()
+    }
+
+    fn from_base64(text: &str) -> Option<Vec<u64>> {
+        let bytes = STANDARD_NO_PAD.decode(text).ok()?;
+        let (words, rest) = bytes.as_chunks::<8>();
+        let words = words.iter().map(|word| u64::from_be_bytes(*word));
+        rest.is_empty().then(|| words.collect())
+    }
 }
 
+/// Stands before a bitmap in base64; no hexadecimal digit.
+const BASE64_MARK: &str = "=";
+/// Around a stored text.
+const QUOTES: usize = 2;
+
 impl Serialize for Bitmap {
     fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let text: String = self.words.iter().map(|w| format!("{w:016x}")).collect();
-        serializer.serialize_str(&text)
+        serializer.serialize_str(&self.digits())
     }
 }
 
 impl<'de> Deserialize<'de> for Bitmap {
     fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         let text = String::deserialize(deserializer)?;
-        let words = text
-            .as_bytes()
-            .chunks(16)
-            .map(|chunk| {
-                std::str::from_utf8(chunk)
-                    .ok()
-                    .and_then(|c| u64::from_str_radix(c, 16).ok())
-                    .ok_or_else(|| serde::de::Error::custom("not a bitmap"))
-            })
-            .collect::<Result<_, _>>()?;
+        let words = match text.strip_prefix(BASE64_MARK) {
+            Some(rest) => Self::from_base64(rest),
+            None => Self::from_digits(&text),
+        };
+        let words = words.ok_or_else(|| serde::de::Error::custom("not a bitmap"))?;
         Ok(Self { words })
     }
 }
@@ -283,41 +217,14 @@
             prop_assert_eq!(bitmap.count() as usize, model.len());
             prop_assert!((0..8192).all(|b| bitmap.get(b) == model.contains(&b)));
             prop_assert!(text.len() <= 8192 / 4 + 2);
-        }
-    }
-
-    proptest! {
-        #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(6), failure_persistence: None, ..ProptestConfig::default() })]
-        /// The model is a set; ranges stay in order, apart, and as few as can be.
-        #[test]
-        fn counted_ranges_are_a_set(steps in proptest::collection::vec((0u32..80, 0u32..6), 1..60)) {
-            let mut done = DoneTasks { job: "job-1".into(), ranges: Vec::new() };
-            let mut model = BTreeSet::new();
-            for (first, more) in steps {
-                done.add(first, first + more);
-                model.extend(first..=first + more);
-                prop_assert_eq!(done.tasks().collect::<Vec<_>>(), model.iter().copied().collect::<Vec<_>>());
-                prop_assert!(done.ranges.windows(2).all(|w| w[0].1 + 1 < w[1].0));
+            // Where the digits don't fit, it is stored in a shorter form and read the same.
+            for value_bytes in [8192, 2048, 1400] {
+                let stored = bitmap.stored(value_bytes).expect("a form that fits");
+                prop_assert!(stored.to_string().len() <= value_bytes);
+                let back: Bitmap = serde_json::from_value(stored).expect("bitmap");
+                prop_assert_eq!(&back, &bitmap);
             }
+            prop_assert!(bitmap.stored(5).is_none() || bits.is_empty());
         }
     }
-
-    #[test]
-    fn a_records_size_never_passes_its_bound() {
-        let spec = crate::wire::tests::spec("job-00000000000000000001");
-        let mut record = MachineRecord::new("10.0.0.1:9000", &"t".into(), &"z".into(), true);
-        for index in 0..200 {
-            record.count(&spec.id, 90_000 + 2 * index, 90_000 + 2 * index);
-            let run = Run {
-                task: TaskId {
-                    job: spec.id.clone(),
-                    index: 99_000 + index,
-                },
-                attempt: Attempt(u64::MAX >> 4),
-            };
-            record.add(&run, &spec);
-        }
-        let size = serde_json::to_vec(&record).expect("json").len();
-        assert!(size <= record.size_bound(), "{size}");
-    }
 }
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -6,15 +6,17 @@
 use super::keys::LiveKey;
 use super::records::{
     Bitmap, BlockRecord, DoneTasks, HistoryRecord, JobRecord, LeaderRecord, MachineRecord,
-    MemberRecord, PlanBatch, PlanRecord,
+    MemberRecord, PlanBatch, PlanRecord, ProgramVersion,
 };
+use super::urgency::Urgency;
+use super::waiting::{Outcome, Waiting, WaitingJob};
 use crate::admin::Settings;
 use crate::config::Config;
 use crate::ids::{
     Attempt, BlockId, Image, JobId, MachineId, Member, Pipeline, Revision, TeamId, Wall,
 };
 use crate::wire::state::{Event, Item};
-use crate::wire::{Catalog, JobSpec, Kind, MachineType};
+use crate::wire::{Catalog, JobSpec, Kind, MachineType, Priority};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,6 +35,11 @@
 pub struct LiveJob {
     pub spec: Rc<JobSpec>,
     pub accepted: Wall,
+    /// Since when its tasks may run: its acceptance, or the end of the last job that it needed.
+    /// All times but the deadline count from here.
+    pub eligible: Wall,
+    /// By itself and by the jobs that depend on it.
+    pub urgency: Urgency,
     pub revision: Revision,
     pub segments: BTreeMap<u32, Versioned<Bitmap>>,
     /// Finished tasks that stand in machines' records and not in a segment yet. A task that was
@@ -47,15 +54,25 @@
     /// waiting, and started a second time (simulated seed 47, everything at once).
     shadowed: Vec<(u32, MachineId, Attempt)>,
     pub plan: Option<PlanRecord>,
+    /// The first machines that its tasks were placed on.
+    ran_on: Vec<MachineId>,
 }
 
 impl LiveJob {
+    /// The priority that it may be treated as having.
+    pub fn priority(&self) -> Priority {
+        self.urgency.priority
+    }
+
     pub fn done_count(&self) -> u32 {
         let folded: u32 = self.segments.values().map(|s| s.value.count()).sum();
         folded + self.counted.len() as u32
     }
 
     fn place(&mut self, index: u32, machine: &MachineId, attempt: Attempt) {
+        if self.ran_on.len() < PlanRecord::MACHINES && !self.ran_on.contains(machine) {
+            self.ran_on.push(machine.clone());
+        }
         let new = (machine.clone(), attempt);
         let old = self.placed.get(&index).filter(|old| **old != new).cloned();
         let (latest, earlier) = match old {
@@ -148,7 +165,10 @@
     pub catalog: Option<Versioned<Catalog>>,
     pub settings: Option<Versioned<Settings>>,
     pub history: BTreeMap<Pipeline, Versioned<HistoryRecord>>,
+    /// Jobs whose tasks may run.
     pub jobs: BTreeMap<JobId, LiveJob>,
+    /// Jobs that wait for others to be done. Nothing that counts or places work sees them.
+    pub waiting: Waiting,
     pub machines: BTreeMap<MachineId, LiveMachine>,
     /// Records that came before the job they belong to.
     early_segments: BTreeMap<(JobId, u32), Versioned<Bitmap>>,
@@ -177,6 +197,7 @@
             settings: None,
             history: BTreeMap::new(),
             jobs: BTreeMap::new(),
+            waiting: Waiting::default(),
             machines: BTreeMap::new(),
             early_segments: BTreeMap::new(),
             early_plans: BTreeMap::new(),
@@ -191,7 +212,76 @@
         if revision > self.revision {
             self.cancelled.insert(job.clone(), revision);
         }
-        self.jobs.remove(job);
+        self.remove_job(job);
+        self.waiting.note(job, Outcome::Cancelled);
+    }
+
+    /// The revision of a job's record, whether it waits or not.
+    pub fn job_revision(&self, id: &JobId) -> Option<Revision> {
+        let live = self.jobs.get(id).map(|job| job.revision);
+        live.or_else(|| self.waiting.get(id).map(|job| job.revision))
+    }
+
+    /// A job's plan, whether it waits or not.
+    pub fn plan(&self, id: &JobId) -> Option<&PlanRecord> {
+        match self.jobs.get(id) {
+            Some(job) => job.plan.as_ref(),
+            None => self.waiting.get(id)?.plan.as_ref(),
+        }
+    }
+
+    /// A job's description, whether it waits or not.
+    pub fn job_spec(&self, id: &JobId) -> Option<&Rc<JobSpec>> {
+        let live = self.jobs.get(id).map(|job| &job.spec);
+        live.or_else(|| self.waiting.get(id).map(|job| &job.spec))
+    }
+
+    /// Whether every controller that takes part understands jobs that depend on others. One that
+    /// does not would start them at once.
+    pub fn all_know_dependencies(&self) -> bool {
+        let mut members = self.members.values();
+        members.all(|m| m.version >= ProgramVersion::DEPENDENCIES)
+    }
+
+    fn remove_job(&mut self, id: &JobId) {
+        let changed = self.waiting.remove(id);
+        self.update_urgency(&changed);
+        if let Some(job) = self.jobs.remove(id) {
+            self.waiting.has_run_on(id, &job.ran_on);
+        }
+        self.waiting.has_left(id);
+    }
+
+    /// A job's final record was read or written; the stream may not have brought it yet.
+    pub fn note_outcome(&mut self, id: &JobId, outcome: Outcome) {
+        if let Some(job) = self.jobs.get(id) {
+            self.waiting.has_run_on(id, &job.ran_on);
+        }
+        self.waiting.note(id, outcome);
+    }
+
+    fn update_urgency(&mut self, changed: &[JobId]) {
+        for id in changed {
+            if let Some(job) = self.jobs.get_mut(id) {
+                let own = Urgency::of(&job.spec, job.accepted);
+                let inherited = self.waiting.inherited(id);
+                job.urgency = inherited.map_or(own, |other| own.merge(other));
+            }
+        }
+    }
+
+    /// Takes a plan for a job, whether it waits or not. `false`: there is no such job.
+    pub fn set_plan(&mut self, id: &JobId, plan: PlanRecord) -> bool {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.plan = Some(plan);
+            return true;
+        }
+        let waits = self.waiting.contains(id);
+        if waits {
+            let changed = self.waiting.set_plan(id, plan);
+            self.update_urgency(&changed);
+        }
+        waits
     }
 
     /// The machines on whose records a job stands.
@@ -268,8 +358,9 @@
                 }
             }
             LiveKey::Job(id) => {
+                let old = self.job_revision(&id);
                 if !self.cancelled.contains_key(&id)
-                    && newer!(self.jobs.get(&id))
+                    && old.is_none_or(|old| old < revision)
                     && let Some(record) = decode::<JobRecord>(key, value)
                 {
                     self.put_job(id, record, revision);
@@ -297,11 +388,8 @@
                 self.plan_batches
                     .insert(name, batch.keys().cloned().collect());
                 for (id, record) in batch {
-                    match self.jobs.get_mut(&id) {
-                        Some(job) => job.plan = Some(record),
-                        None => {
-                            self.early_plans.insert(id, record);
-                        }
+                    if !self.set_plan(&id, record.clone()) {
+                        self.early_plans.insert(id, record);
                     }
                 }
             }
@@ -313,7 +401,30 @@
         }
     }
 
-    fn put_job(&mut self, id: JobId, record: JobRecord, revision: Revision) {
+    /// Takes a job's record from the stream, or from a transaction that was just committed.
+    pub fn put_job(&mut self, id: JobId, record: JobRecord, revision: Revision) {
+        if record.is_waiting() {
+            let plan = self.early_plans.remove(&id);
+            let job = WaitingJob::new(record.spec, record.accepted, revision, plan);
+            let jobs = &self.jobs;
+            let raised = self.waiting.insert(id, job, |id| jobs.contains_key(id));
+            self.update_urgency(&raised);
+            return;
+        }
+        let waited = self.waiting.get(&id).and_then(|job| job.plan.clone());
+        let changed = self.waiting.remove(&id);
+        self.update_urgency(&changed);
+        let plan = waited.or_else(|| self.early_plans.remove(&id));
+        self.put_live_job(id, record, revision, plan);
+    }
+
+    fn put_live_job(
+        &mut self,
+        id: JobId,
+        record: JobRecord,
+        revision: Revision,
+        plan: Option<PlanRecord>,
+    ) {
         let first = (id.clone(), 0);
         let last = (id.clone(), u32::MAX);
         let early: Vec<_> = self
@@ -325,16 +436,21 @@
             .into_iter()
             .filter_map(|k| self.early_segments.remove(&k).map(|s| (k.1, s)))
             .collect();
+        let own = Urgency::of(&record.spec, record.accepted);
+        let inherited = self.waiting.inherited(&id);
         let mut job = LiveJob {
-            spec: Rc::new(record.spec),
             accepted: record.accepted,
+            eligible: record.released.unwrap_or(record.accepted),
+            urgency: inherited.map_or(own, |other| own.merge(other)),
+            spec: Rc::new(record.spec),
             revision,
             segments,
             counted: BTreeSet::new(),
             told: BTreeSet::new(),
             placed: BTreeMap::new(),
             shadowed: Vec::new(),
-            plan: self.early_plans.remove(&id),
+            plan,
+            ran_on: Vec::new(),
         };
         for (machine, live) in &self.machines {
             for group in live.record.jobs.iter().filter(|g| g.job == id) {
@@ -347,6 +463,7 @@
         for done in records.filter(|d| d.job == id) {
             job.count(done, self.segment_tasks);
         }
+        self.waiting.stands(&id);
         self.jobs.insert(id, job);
     }
 
@@ -443,8 +560,8 @@
                 self.history.remove(&pipeline);
             }
             LiveKey::Job(id) => {
-                if self.jobs.get(&id).is_some_and(|j| older(j.revision)) {
-                    self.jobs.remove(&id);
+                if self.job_revision(&id).is_some_and(older) {
+                    self.remove_job(&id);
                     return Some(id);
                 }
             }
@@ -483,9 +600,9 @@
     }
 
     /// Records left behind by jobs that ended: they are cleaned up at leisure.
-    pub fn orphans(&self) -> Vec<String> {
+    pub fn orphans(&self, most: usize) -> Vec<String> {
         let segments = self.early_segments.keys();
-        let live = |id: &JobId| self.jobs.contains_key(id);
+        let live = |id: &JobId| self.job_revision(id).is_some();
         let plans = self.plan_batches.iter();
         segments
             .map(|(job, n)| super::keys::segment(job, *n))
@@ -494,7 +611,7 @@
                     .filter(|(_, jobs)| !jobs.iter().any(live))
                     .map(|(name, _)| super::keys::plans(name)),
             )
-            .take(4)
+            .take(most)
             .collect()
     }
 
--- a/src/store/replica/tests.rs
+++ b/src/store/replica/tests.rs
@@ -115,7 +115,7 @@
     );
     let job = &replica.jobs[&id];
     assert_eq!(job.open_tasks(1024).collect::<Vec<_>>(), vec![0, 1, 2]);
-    assert!(job.plan.is_some() && replica.orphans().is_empty());
+    assert!(job.plan.is_some() && replica.orphans(4).is_empty());
     let gone = Event {
         delete: Some(keys::job(&id)),
         put: None,
@@ -123,7 +123,7 @@
         revision: Revision(4),
     };
     assert_eq!(replica.apply(Revision(4), vec![gone]), vec![id]);
-    assert_eq!(replica.orphans(), vec![keys::plans("1-1")]);
+    assert_eq!(replica.orphans(4), vec![keys::plans("1-1")]);
 }
 
 /// A task that is done stays done, whichever of its records comes or goes first.
--- /dev/null
+++ b/src/store/waiting.rs
@@ -0,0 +1,325 @@
+//! Jobs that wait for others to be done: which job each of them still needs, what follows from
+//! another job's end, and how urgent that makes the jobs that they need.
+//!
+//! A waiting job's counter is the set of jobs whose final record has not been seen to say "done"
+//! (the paper's II.B, as a set: a repeat counts once). Final records never change, so what was
+//! once noted stays true.
+
+use super::records::PlanRecord;
+use super::urgency::Urgency;
+use crate::ids::{JobId, MachineId, Revision, Span, Wall};
+use crate::wire::JobSpec;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::rc::Rc;
+
+/// How a job that others need has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Done,
+    Cancelled,
+}
+
+#[derive(Debug)]
+pub struct WaitingJob {
+    pub spec: Rc<JobSpec>,
+    pub accepted: Wall,
+    pub revision: Revision,
+    pub plan: Option<PlanRecord>,
+    /// Jobs that are not known to be done.
+    unfinished: BTreeSet<JobId>,
+}
+
+impl WaitingJob {
+    pub fn new(
+        spec: JobSpec,
+        accepted: Wall,
+        revision: Revision,
+        plan: Option<PlanRecord>,
+    ) -> Self {
+        Self {
+            unfinished: spec.dependencies.iter().cloned().collect(),
+            spec: Rc::new(spec),
+            accepted,
+            revision,
+            plan,
+        }
+    }
+
+    fn predicted(&self) -> Span {
+        let estimate = self.spec.estimate_s;
+        Span::from_secs(self.plan.as_ref().map_or(estimate, |p| p.predicted_s))
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Waiting {
+    jobs: BTreeMap<JobId, WaitingJob>,
+    /// The waiting jobs that need a job, by that job; never empty.
+    dependents: BTreeMap<JobId, BTreeSet<JobId>>,
+    /// What a job's dependents pass back to it, by that job.
+    inherited: BTreeMap<JobId, Urgency>,
+    /// How jobs with dependents have ended, as far as that is known.
+    outcomes: BTreeMap<JobId, Outcome>,
+    /// Jobs with dependents that have ended, without it being known how.
+    unknown: BTreeSet<JobId>,
+    /// Jobs with dependents that are known to be cancelled.
+    cancelled: BTreeSet<JobId>,
+    /// Waiting jobs without a plan.
+    unplanned: BTreeSet<JobId>,
+    /// Waiting jobs that need nothing more.
+    ready: BTreeSet<JobId>,
+    /// Where the tasks of ended jobs with dependents ran.
+    ran_on: BTreeMap<JobId, Vec<MachineId>>,
+}
+
+impl Waiting {
+    pub fn get(&self, id: &JobId) -> Option<&WaitingJob> {
+        self.jobs.get(id)
+    }
+
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    pub fn contains(&self, id: &JobId) -> bool {
+        self.jobs.contains_key(id)
+    }
+
+    /// Whether any waiting job needs this one.
+    pub fn has_dependents(&self, id: &JobId) -> bool {
+        self.dependents.contains_key(id)
+    }
+
+    /// The waiting jobs that name a job as one that they need.
+    pub fn dependents(&self, id: &JobId) -> impl Iterator<Item = &JobId> {
+        self.dependents.get(id).into_iter().flatten()
+    }
+
+    /// All waiting jobs that need a job, directly or through others, nearest first.
+    pub fn descendants(&self, id: &JobId) -> Vec<JobId> {
+        let mut seen = BTreeSet::new();
+        let mut found = Vec::new();
+        let mut queue = VecDeque::from([id.clone()]);
+        while let Some(next) = queue.pop_front() {
+            for dependent in self.dependents(&next) {
+                if seen.insert(dependent.clone()) {
+                    found.push(dependent.clone());
+                    queue.push_back(dependent.clone());
+                }
+            }
+        }
+        found
+    }
+
+    /// Jobs with dependents that have ended, and of which it has to be read how.
+    pub fn unknown(&self) -> impl Iterator<Item = &JobId> {
+        self.unknown.iter()
+    }
+
+    /// Cancelled jobs on which waiting jobs still depend.
+    pub fn cancelled(&self) -> impl Iterator<Item = &JobId> {
+        self.cancelled.iter()
+    }
+
+    /// Waiting jobs without a plan.
+    pub fn unplanned(&self) -> impl Iterator<Item = &JobId> {
+        self.unplanned.iter()
+    }
+
+    /// Waiting jobs all of whose dependencies are done.
+    pub fn ready(&self) -> impl Iterator<Item = &JobId> {
+        self.ready.iter()
+    }
+
+    /// Where the job ran whose placement group a waiting job shares.
+    pub fn group_machines(&self, id: &JobId) -> &[MachineId] {
+        let plan = self.jobs.get(id).and_then(|job| job.plan.as_ref());
+        let parent = plan.and_then(|p| p.joins.as_ref());
+        let ran_on = parent.and_then(|p| self.ran_on.get(p));
+        ran_on.map_or(&[], Vec::as_slice)
+    }
+
+    /// What the dependents of a job pass back to it.
+    pub fn inherited(&self, id: &JobId) -> Option<Urgency> {
+        self.inherited.get(id).copied()
+    }
+
+    /// How urgent a waiting job is, by itself and by its own dependents.
+    pub fn urgency(&self, id: &JobId) -> Option<Urgency> {
+        let job = self.jobs.get(id)?;
+        let own = Urgency::of(&job.spec, job.accepted);
+        Some(self.inherited(id).map_or(own, |other| own.merge(other)))
+    }
+
+    fn passed_back(&self, id: &JobId) -> Option<Urgency> {
+        let predicted = self.jobs.get(id)?.predicted();
+        Some(self.urgency(id)?.before(predicted))
+    }
+
+    /// Takes in a waiting job. `is_live` tells of any other job whether it stands and does not
+    /// wait. Returns the jobs that have become more urgent.
+    pub fn insert(
+        &mut self,
+        id: JobId,
+        mut job: WaitingJob,
+        is_live: impl Fn(&JobId) -> bool,
+    ) -> Vec<JobId> {
+        let dependencies = job.spec.dependencies.clone();
+        for dependency in &dependencies {
+            let dependents = self.dependents.entry(dependency.clone()).or_default();
+            dependents.insert(id.clone());
+            match self.outcomes.get(dependency) {
+                Some(Outcome::Done) => drop(job.unfinished.remove(dependency)),
+                Some(Outcome::Cancelled) => {}
+                None if is_live(dependency) || self.jobs.contains_key(dependency) => {}
+                None => drop(self.unknown.insert(dependency.clone())),
+            }
+        }
+        if job.unfinished.is_empty() {
+            self.ready.insert(id.clone());
+        }
+        if job.plan.is_none() {
+            self.unplanned.insert(id.clone());
+        }
+        self.jobs.insert(id.clone(), job);
+        self.stands(&id);
+        self.raise(&id)
+    }
+
+    /// Takes out a job that waits no more. Returns the jobs whose urgency may have changed.
+    pub fn remove(&mut self, id: &JobId) -> Vec<JobId> {
+        let Some(job) = self.jobs.remove(id) else {
+            return Vec::new();
+        };
+        self.ready.remove(id);
+        self.unplanned.remove(id);
+        let mut lowered = Vec::new();
+        for dependency in &job.spec.dependencies {
+            if let Some(dependents) = self.dependents.get_mut(dependency) {
+                dependents.remove(id);
+                if dependents.is_empty() {
+                    self.forget(dependency);
+                }
+            }
+            if !self.has_ended(dependency) {
+                lowered.push(dependency.clone());
+            }
+        }
+        self.recompute(lowered)
+    }
+
+    fn forget(&mut self, id: &JobId) {
+        self.dependents.remove(id);
+        self.outcomes.remove(id);
+        self.unknown.remove(id);
+        self.cancelled.remove(id);
+        self.ran_on.remove(id);
+    }
+
+    fn has_ended(&self, id: &JobId) -> bool {
+        self.outcomes.contains_key(id) || self.unknown.contains(id)
+    }
+
+    /// A job stands in the mirror, waiting or not.
+    pub fn stands(&mut self, id: &JobId) {
+        self.unknown.remove(id);
+    }
+
+    /// A job has left the mirror.
+    pub fn has_left(&mut self, id: &JobId) {
+        if self.has_dependents(id) && !self.outcomes.contains_key(id) {
+            self.unknown.insert(id.clone());
+        }
+    }
+
+    /// A job has ended, or is about to, and its tasks ran on these machines.
+    pub fn has_run_on(&mut self, id: &JobId, machines: &[MachineId]) {
+        if self.has_dependents(id) && !machines.is_empty() {
+            self.ran_on.insert(id.clone(), machines.to_vec());
+        }
+    }
+
+    /// Notes what a job's final record says.
+    pub fn note(&mut self, id: &JobId, outcome: Outcome) {
+        let Some(dependents) = self.dependents.get(id) else {
+            return;
+        };
+        self.unknown.remove(id);
+        self.outcomes.insert(id.clone(), outcome);
+        match outcome {
+            Outcome::Cancelled => drop(self.cancelled.insert(id.clone())),
+            Outcome::Done => {
+                for dependent in dependents {
+                    if let Some(job) = self.jobs.get_mut(dependent) {
+                        job.unfinished.remove(id);
+                        if job.unfinished.is_empty() {
+                            self.ready.insert(dependent.clone());
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// A plan predicts how long a waiting job takes. Returns the jobs whose urgency has changed.
+    pub fn set_plan(&mut self, id: &JobId, plan: PlanRecord) -> Vec<JobId> {
+        let before = self.passed_back(id);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return Vec::new();
+        };
+        job.plan = Some(plan);
+        self.unplanned.remove(id);
+        let dependencies = job.spec.dependencies.clone();
+        if self.passed_back(id) == before {
+            return Vec::new();
+        }
+        self.recompute(dependencies)
+    }
+
+    /// Passes a new job's urgency back along its ancestors, as far as it changes anything.
+    fn raise(&mut self, id: &JobId) -> Vec<JobId> {
+        let mut raised = Vec::new();
+        let mut queue = VecDeque::from([id.clone()]);
+        while let Some(next) = queue.pop_front() {
+            let Some(passed) = self.passed_back(&next) else {
+                continue;
+            };
+            let dependencies = self.jobs[&next].spec.dependencies.clone();
+            for dependency in dependencies {
+                let old = self.inherited.get(&dependency).copied();
+                let new = old.map_or(passed, |old| old.merge(passed));
+                if old != Some(new) {
+                    self.inherited.insert(dependency.clone(), new);
+                    raised.push(dependency.clone());
+                    queue.push_back(dependency);
+                }
+            }
+        }
+        raised
+    }
+
+    /// Works out anew what jobs inherit, and what changes with it along their ancestors.
+    fn recompute(&mut self, jobs: Vec<JobId>) -> Vec<JobId> {
+        let mut changed = Vec::new();
+        let mut queue = VecDeque::from(jobs);
+        while let Some(next) = queue.pop_front() {
+            let passed = self.dependents(&next).filter_map(|d| self.passed_back(d));
+            let new = passed.reduce(Urgency::merge);
+            if new == self.inherited.get(&next).copied() {
+                continue;
+            }
+            match new {
+                Some(new) => drop(self.inherited.insert(next.clone(), new)),
+                None => drop(self.inherited.remove(&next)),
+            }
+            if let Some(job) = self.jobs.get(&next) {
+                queue.extend(job.spec.dependencies.iter().cloned());
+            }
+            changed.push(next);
+        }
+        changed
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,5 +1,7 @@
 //! The protocol's own words. Nothing outside this module knows them.
 
+mod dependencies;
+
 use crate::ids::{
     Amounts, Attempt, Image, JobId, MachineId, Member, Pipeline, Run, Seq, Session, Span, TeamId,
     Token, TypeName, Zone,
@@ -86,6 +88,15 @@
     pub save_s: f64,
     #[serde(rename = "due_s", default)]
     pub deadline_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts. Left out when there are none,
+    /// so that other records stay as versions without the field write them.
+    #[serde(
+        rename = "awaits",
+        default,
+        deserialize_with = "dependencies::deserialize",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub dependencies: Vec<JobId>,
 }
 
 pub fn valid_job_id(text: &str) -> bool {
--- /dev/null
+++ b/src/wire/dependencies.rs
@@ -0,0 +1,33 @@
+//! The jobs that a submission names as having to be done before its own tasks start.
+
+use super::valid_job_id;
+use crate::ids::JobId;
+use serde::{Deserialize, Deserializer, de::Error};
+use serde_json::Value;
+use std::collections::BTreeSet;
+
+/// The field's name on the wire.
+pub const FIELD: &str = "awaits";
+
+/// Reads the list; a job that is named twice counts once. Null is the same as an empty list.
+pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<JobId>, D::Error> {
+    let value = Value::deserialize(deserializer)?;
+    read(&value)
+        .ok_or_else(|| D::Error::custom(format!("field `{FIELD}` must be a list of job ids")))
+}
+
+fn read(value: &Value) -> Option<Vec<JobId>> {
+    if value.is_null() {
+        return Some(Vec::new());
+    }
+    let mut seen = BTreeSet::new();
+    let mut ids = Vec::new();
+    for entry in value.as_array()? {
+        let text = entry.as_str().filter(|text| valid_job_id(text))?;
+        let id = JobId::from(text);
+        if seen.insert(id.clone()) {
+            ids.push(id);
+        }
+    }
+    Some(ids)
+}
--- a/src/workers/desk.rs
+++ b/src/workers/desk.rs
@@ -134,6 +134,8 @@
     pub rejected: Vec<Run>,
     pub txn: Option<PendingTxn>,
     pub retry_at: Time,
+    /// The state service refused the record for its size: nothing that large is written again.
+    pub too_large: bool,
     /// A condition failed at this revision: the mirror must get there first.
     pub retry_revision: Revision,
     /// When a report last came straight from the machine.
@@ -175,6 +177,7 @@
             rejected: Vec::new(),
             txn: None,
             retry_at: now,
+            too_large: false,
             retry_revision: Revision(0),
             straight: now,
             relayed: None,
--- a/src/workers/holder.rs
+++ b/src/workers/holder.rs
@@ -12,12 +12,12 @@
     Time, Token,
 };
 use crate::peers::{Allotment, End, Ended, MachineHealth, Message};
-use crate::store::records::MachineRecord;
+use crate::store::machine_record::{MachineRecord, size};
 use crate::store::replica::{LiveJob, LiveMachine, Replica};
 use crate::store::tokens::{Bucket, Class};
 use crate::store::{TxnOutcome, keys};
 use crate::wire::state::Txn;
-use crate::wire::{Kind, Order, Report, TaskState, Why};
+use crate::wire::{JobSpec, Kind, Order, Report, TaskState, Why};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Bound;
 
@@ -135,15 +135,15 @@
             me: config.member.clone(),
             incarnation,
             blocks: config.blocks(),
-            txn_ops: config.txn_ops,
-            value_bytes: config.value_bytes,
+            txn_ops: config.state.txn_ops,
+            value_bytes: config.state.value_bytes,
             segment_tasks: config.segment_tasks(),
-            write_rps: config.state_write_rps,
+            write_rps: config.state.rates.changes,
             report: config.report,
             lease: config.lease,
             desks: BTreeMap::new(),
             ripe: BTreeSet::new(),
-            records: Bucket::new(config.state_write_rps * RECORDS_SHARE),
+            records: Bucket::new(config.state.rates.changes * RECORDS_SHARE),
             greeted: BTreeMap::new(),
             leader: None,
             held: BTreeMap::new(),
@@ -158,6 +158,11 @@
         }
     }
 
+    /// How many changes the state service takes in a second from all controllers.
+    pub fn set_change_rate(&mut self, changes: f64) {
+        self.write_rps = changes;
+    }
+
     /// The longest that a report which comes straight can be away.
     fn straight(&self) -> Span {
         self.report + Span(self.report.0 / 4 + 1000)
@@ -569,6 +574,11 @@
                 desk.retry_at = now + TXN_RETRY;
             }
             TxnOutcome::Refused => desk.retry_at = now + TXN_RETRY,
+            TxnOutcome::Invalid => {
+                tracing::info!(machine = %id, bytes = pending.record.size(), "record is too large for the state service");
+                desk.too_large = true;
+                desk.retry_at = now + TXN_RETRY;
+            }
             TxnOutcome::Unknown => {
                 // It may be applied late, but only while the record stands as it did.
                 if desk.fence == pending.fence {
--- a/src/workers/holder/allotments.rs
+++ b/src/workers/holder/allotments.rs
@@ -33,7 +33,7 @@
             let mut touched = BTreeSet::new();
             for run in runs {
                 let place = live.filter(|_| fits).and_then(|job| {
-                    let id = self.choose(job, &allotment, replica)?;
+                    let id = self.choose(job, &run, &allotment, replica)?;
                     Some((job, id))
                 });
                 match place {
@@ -68,6 +68,7 @@
     pub(super) fn choose(
         &self,
         job: &LiveJob,
+        run: &Run,
         allotment: &Allotment,
         replica: &Replica,
     ) -> Option<MachineId> {
@@ -82,9 +83,9 @@
             let room = replica.machine_type(&record.type_name)?.room();
             let freed = desk.ripe.as_ref().map_or(Amounts::default(), |r| r.freed);
             let free = room + freed - record.used() - self.promised(desk);
-            let size = record.size_bound() + 200 * (desk.incoming.len() + 1);
             let in_block = id.block(self.blocks) == allotment.block;
-            Some(in_block && usable && allowed && need.fits(free) && size < self.value_bytes)
+            let stored = self.stored_size(desk, record, run, &job.spec) <= self.value_bytes;
+            Some(in_block && usable && allowed && need.fits(free) && stored)
         };
         allotment
             .preferred
@@ -93,6 +94,24 @@
             .cloned()
     }
 
+    /// The size of a machine's record with all that is allotted there and one placement more. What
+    /// has ended is not taken off: its end needs room too.
+    fn stored_size(&self, desk: &Desk, record: &MachineRecord, run: &Run, spec: &JobSpec) -> usize {
+        let ends = self.value_bytes - MachineRecord::room_for_placements(self.value_bytes);
+        let mut jobs = BTreeSet::new();
+        let incoming = desk.incoming.iter().map(|i| (&i.run, &*i.spec));
+        let added = incoming.chain([(run, spec)]).map(|(run, spec)| {
+            let task = size::task(run.task.index, run.attempt);
+            match jobs.insert(&run.task.job) {
+                true => record.size_of_adding(run, spec),
+                false => task,
+            }
+        });
+        let added: usize = added.sum();
+        let done = record.done_size();
+        record.size() - done + done.max(ends) + added
+    }
+
     /// What a desk has taken on that its record does not show yet.
     pub(super) fn promised(&self, desk: &Desk) -> Amounts {
         desk.incoming
--- a/src/workers/holder/records.rs
+++ b/src/workers/holder/records.rs
@@ -90,7 +90,7 @@
             if worth < u64::MAX && !self.records.allows(now, 1.0, Class::Place) {
                 break;
             }
-            if self.commit(&id, replica, out) {
+            if self.commit(now, &id, replica, out) {
                 self.records.spend(1.0);
             }
         }
@@ -100,6 +100,7 @@
     /// change under the fence.
     pub(super) fn commit(
         &mut self,
+        now: Time,
         id: &MachineId,
         replica: &Replica,
         out: &mut Vec<Effect>,
@@ -137,18 +138,13 @@
             record.remove(&run);
             ended.push((run, end));
         }
-        let mut jobs_added = BTreeSet::new();
-        for incoming in &desk.incoming {
-            let job = &incoming.run.task.job;
-            if !jobs_added.contains(job) && txn.conditions.len() + 1 > 4 * self.txn_ops {
-                break;
-            }
-            if jobs_added.insert(job.clone()) {
-                txn.require(keys::job(job), incoming.job_revision);
-            }
-            record.add(&incoming.run, &incoming.spec);
-            desk.fresh.insert(incoming.run.clone());
+        add_incoming(desk, &mut record, &mut txn, self.value_bytes, self.txn_ops);
+        if record.size() > self.value_bytes && desk.too_large {
+            // It gets smaller with more ends.
+            desk.retry_at = now + TXN_RETRY;
+            return false;
         }
+        desk.too_large = false;
         let placed = |run: &Run| record.holds(run);
         desk.fresh.retain(placed);
         let touch = desk.uncertain.is_some() && !desk.rejected.is_empty();
@@ -169,6 +165,36 @@
     }
 }
 
+/// Adds what was allotted to a machine's record, as far as it fits. What does not is given back.
+fn add_incoming(
+    desk: &mut Desk,
+    record: &mut MachineRecord,
+    txn: &mut Txn,
+    value_bytes: usize,
+    txn_ops: usize,
+) {
+    let mut jobs_added = BTreeSet::new();
+    let mut too_large = BTreeSet::new();
+    for incoming in &desk.incoming {
+        let job = &incoming.run.task.job;
+        if !jobs_added.contains(job) && txn.conditions.len() + 1 > 4 * txn_ops {
+            break;
+        }
+        let added = record.size_of_adding(&incoming.run, &incoming.spec);
+        if record.size() + added > value_bytes {
+            too_large.insert(incoming.run.clone());
+            continue;
+        }
+        if jobs_added.insert(job.clone()) {
+            txn.require(keys::job(job), incoming.job_revision);
+        }
+        record.add(&incoming.run, &incoming.spec);
+        desk.fresh.insert(incoming.run.clone());
+    }
+    desk.incoming.retain(|i| !too_large.contains(&i.run));
+    desk.rejected.extend(too_large);
+}
+
 /// How a placement has ended, once that is proved.
 pub(super) fn ended_as(desk: &Desk, run: &Run, replica: &Replica) -> Option<End> {
     match desk.presence(run) {
