--- /dev/null
+++ b/src/intake/dependencies/decision.rs
@@ -0,0 +1,171 @@
+//! What a submission that names other jobs amounts to, and the transactions that follow: decided
+//! without I/O.
+
+use crate::ids::{JobId, Revision, Wall};
+use crate::planning::cancel_dependents;
+use crate::store::keys;
+use crate::store::records::{JobRecord, OverRecord};
+use crate::store::replica::Replica;
+use crate::wire::state::Txn;
+use crate::wire::{JobSpec, JobState, Kind};
+use std::collections::BTreeSet;
+
+/// Conditions that a submission needs beside those on the jobs that it names.
+const OWN_CONDITIONS: usize = 2;
+/// Conditions that a transaction may have for each of its changes.
+const CONDITIONS_PER_CHANGE: usize = 4;
+
+/// How one of the named jobs stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Named {
+    /// Accepted and not over.
+    Live {
+        kind: Kind,
+        revision: Revision,
+    },
+    Done,
+    Cancelled,
+    Never,
+    Unknown,
+}
+
+/// What a submission amounts to, by the jobs that it names.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Dependencies {
+    /// These are not over, at these revisions.
+    Open(Vec<(JobId, Revision)>),
+    Done,
+    Cancelled,
+    /// They can't be named, for good.
+    Refused(String),
+    Unknown,
+}
+
+impl Dependencies {
+    /// Sums up how the jobs stand that `job` names. What is refused for good comes first, then
+    /// what is not known.
+    pub fn of(job: &JobId, named: Vec<(JobId, Named)>) -> Self {
+        let (mut open, mut unknown, mut cancelled) = (Vec::new(), false, false);
+        for (id, standing) in named {
+            if id == *job {
+                return Self::Refused(format!("{id} can't need itself"));
+            }
+            match standing {
+                Named::Live {
+                    kind: Kind::Service,
+                    ..
+                } => return Self::Refused(format!("{id} is a service: it is never done")),
+                Named::Never => return Self::Refused(format!("{id} was never accepted")),
+                Named::Live { revision, .. } => open.push((id, revision)),
+                Named::Done => {}
+                Named::Cancelled => cancelled = true,
+                Named::Unknown => unknown = true,
+            }
+        }
+        match (unknown, cancelled, open.is_empty()) {
+            (true, ..) => Self::Unknown,
+            (_, true, _) => Self::Cancelled,
+            (.., false) => Self::Open(open),
+            (.., true) => Self::Done,
+        }
+    }
+
+    /// The transaction that accepts the job, and how the job then stands. `None`: it is not
+    /// accepted.
+    ///
+    /// A job that needs a cancelled one is accepted as cancelled. One that waits is accepted on the
+    /// condition that the jobs it waits for stand as they were found, so whoever cancels one of
+    /// these finds, once the mirror has come up to that change, every job that needs it. Of a very
+    /// long list only the first are checked there; the leader finds out about the others.
+    pub fn accept(&self, spec: &JobSpec, now: Wall, max_ops: usize) -> Option<(Txn, JobState)> {
+        let mut txn = new_job(&spec.id);
+        let open = match self {
+            Self::Refused(_) | Self::Unknown => return None,
+            Self::Cancelled => {
+                let record = OverRecord {
+                    state: JobState::Cancelled,
+                    tasks: spec.tasks,
+                };
+                txn.put(keys::over(&spec.id), &record, None);
+                return Some((txn, JobState::Cancelled));
+            }
+            Self::Done => &[][..],
+            Self::Open(open) => open.as_slice(),
+        };
+        let room = CONDITIONS_PER_CHANGE * max_ops - OWN_CONDITIONS;
+        for (job, revision) in open.iter().take(room) {
+            txn.require(keys::job(job), *revision);
+        }
+        let mut record = JobRecord::new(spec.clone(), now);
+        record.released = open.is_empty().then_some(now);
+        txn.put(keys::job(&spec.id), &record, None);
+        Some((txn, JobState::Queued))
+    }
+}
+
+/// The conditions under which a job is accepted: it is not known yet.
+pub fn new_job(id: &JobId) -> Txn {
+    let mut txn = Txn::default();
+    txn.require(keys::job(id), Revision(0));
+    txn.require(keys::over(id), Revision(0));
+    txn
+}
+
+/// How a job stands that the mirror shows. That one is missing there proves nothing.
+pub fn named_in_mirror(id: &JobId, replica: &Replica) -> Option<Named> {
+    Some(Named::Live {
+        kind: replica.job_spec(id)?.kind,
+        revision: replica.job_revision(id)?,
+    })
+}
+
+/// The cancellation of everything that needs a job, step by step.
+#[derive(Debug)]
+pub struct Cascade {
+    cancelled: Vec<JobId>,
+    /// The last change that cancelled any of them.
+    revision: Revision,
+}
+
+/// What the cascade needs next.
+#[derive(Debug)]
+pub enum CascadeStep {
+    /// All that need the job are cancelled.
+    Complete,
+    /// The mirror has to come up to what was written.
+    Wait,
+    Write(Txn, Vec<JobId>),
+}
+
+impl Cascade {
+    /// `revision`: the change that cancelled the job.
+    pub fn new(job: &JobId, revision: Revision) -> Self {
+        Self {
+            cancelled: vec![job.clone()],
+            revision,
+        }
+    }
+
+    /// No job that needs a cancelled one is accepted as waiting after the change that cancelled it,
+    /// and the mirror shows all that were before, once it has come up to that change.
+    pub fn next(&mut self, replica: &Replica, max_ops: usize) -> CascadeStep {
+        let mut cancelled = self.cancelled.iter();
+        let next = cancelled.find_map(|id| cancel_dependents(id, replica, max_ops));
+        let found = self.cancelled.iter();
+        let found = found.flat_map(|id| replica.waiting.descendants(id));
+        let new: BTreeSet<JobId> = found.filter(|id| !self.cancelled.contains(id)).collect();
+        self.cancelled.extend(new);
+        match next {
+            Some((txn, jobs)) => CascadeStep::Write(txn, jobs),
+            None if replica.revision >= self.revision => CascadeStep::Complete,
+            None => CascadeStep::Wait,
+        }
+    }
+
+    pub fn committed(&mut self, revision: Revision) {
+        self.revision = self.revision.max(revision);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -1,6 +1,6 @@
 //! The users' side: submissions, polls, withdrawals. Any controller serves it.
 
-mod dependencies;
+pub mod dependencies;
 mod over;
 mod service;
 mod verify;
--- a/src/sim/cancel.rs
+++ b/src/sim/cancel.rs
@@ -4,6 +4,7 @@
 use super::world::{Breakage, CANCEL, MEMBERS, What, World};
 use crate::cancellation::RoundId;
 use crate::ids::{JobId, Revision, Span, Time};
+use crate::intake::dependencies::Cascade;
 use crate::store::records::{LeaderRecord, OverRecord};
 use crate::store::{TxnOutcome, keys};
 use crate::wire::state::Txn;
@@ -12,6 +13,8 @@
 /// How long a controller waits until the tasks are gone, and how often it asks.
 const PATIENCE: u64 = 900;
 const LOOK: u64 = 60;
+/// How long a controller takes to cancel what needs a cancelled job.
+const CASCADE: u64 = 600;
 /// Users repeat what was not answered.
 const AGAIN: u64 = 1000;
 
@@ -103,7 +106,7 @@
         };
         if controller.is_settled(now, round) {
             controller.close_round(round);
-            self.confirm(&job);
+            self.begin_cascade(node, life, job);
         } else if self.now < until {
             let effects = controller.ask_round(now, round);
             self.carry_out(node, effects);
@@ -114,7 +117,16 @@
         }
     }
 
-    fn confirm(&mut self, job: &JobId) {
+    fn begin_cascade(&mut self, node: usize, life: u64, job: JobId) {
+        let Some((_, revision, _)) = self.store.keys.get(&keys::over(&job)) else {
+            return;
+        };
+        let cascade = Cascade::new(&job, *revision);
+        let until = Time(self.now.0 + CASCADE);
+        self.cascade(node, life, job, cascade, until);
+    }
+
+    pub fn confirm(&mut self, job: &JobId) {
         self.cancelling.remove(job);
         self.cancelled.entry(job.clone()).or_insert(self.now);
     }
--- a/src/sim/checks.rs
+++ b/src/sim/checks.rs
@@ -82,6 +82,9 @@
             if before.is_some_and(|s| s != record.state) {
                 self.breaks("went_back", &id);
             }
+            if before.is_none() && record.state == JobState::Cancelled {
+                self.check_reason(&id);
+            }
             let done = self.done_runs.get(&id).map_or(0, BTreeSet::len);
             if record.state == JobState::Done && done < self.jobs[&id].tasks as usize {
                 let what = format!(
@@ -128,6 +131,9 @@
         for (id, spec) in &self.jobs {
             let over = self.store.keys.contains_key(&keys::over(id));
             let accepted = self.store.keys.contains_key(&keys::job(id));
+            if self.waits_for_others(spec) {
+                continue;
+            }
             if over || !accepted || there.iter().any(|run| run.task.job == *id) {
                 continue;
             }
@@ -210,6 +216,7 @@
             if alive.iter().any(|(id, r)| r.task == run.task && id != at) {
                 self.breaks("ran_twice", run);
             }
+            self.check_too_early(&spec);
             let used: u64 = alive
                 .iter()
                 .filter_map(|(_, r)| self.jobs.get(&r.task.job))
--- a/src/sim/ends.rs
+++ b/src/sim/ends.rs
@@ -55,7 +55,7 @@
     let mut txn = Txn::default();
     txn.put(keys::machine(&MachineId::from("vm-1")), &record, None);
     store.txn(&txn);
-    let replica = store.snapshot();
+    let replica = store.snapshot(&config, false);
     let layout = Layout::new(&config);
     counter::release(id, &replica.jobs[id], &layout).expect("all tasks are done")
 }
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -4,10 +4,13 @@
 
 mod cancel;
 mod checks;
+mod dependent_days;
 mod ends;
 mod growth;
 mod outside;
+mod pipelines;
 mod troubles;
+mod upgrade;
 mod users;
 mod world;
 mod zones;
--- a/src/sim/outside.rs
+++ b/src/sim/outside.rs
@@ -1,6 +1,6 @@
 //! The stand-ins' own state: a small consistent store, and workers.
 
-use crate::config::tests::sample_config;
+use crate::config::Config;
 use crate::ids::{GrantId, Revision, Run, Seq, Session, Time, Token};
 use crate::store::TxnOutcome;
 use crate::store::replica::Replica;
@@ -16,6 +16,26 @@
     pub grants: BTreeMap<GrantId, Time>,
     pub log: Vec<(Revision, String, Option<Value>)>,
     pub ignore_fences: bool,
+    /// The largest value in bytes, and changes in a transaction; none at first.
+    pub limits: Option<(usize, usize)>,
+    /// What was refused for its size.
+    pub too_large: u64,
+}
+
+/// A record as the earlier version of the program sees it: it ignores the fields it does not know.
+fn as_earlier(mut value: Value) -> Value {
+    if let Some(record) = value.as_object_mut() {
+        for field in ["released", "version"] {
+            record.remove(field);
+        }
+        if let Some(spec) = record.get_mut("spec").and_then(Value::as_object_mut) {
+            spec.remove("awaits");
+        }
+        for plan in record.values_mut().filter_map(Value::as_object_mut) {
+            plan.remove("joins");
+        }
+    }
+    value
 }
 
 impl StoreModel {
@@ -67,6 +87,10 @@
         if !failed.is_empty() {
             return TxnOutcome::Failed(failed, self.revision);
         }
+        if self.is_too_large(txn) {
+            self.too_large += 1;
+            return TxnOutcome::Invalid;
+        }
         let dead = |c: &Change| matches!(c, Change::Put { grant: Some(g), .. } if !self.grants.contains_key(g));
         if txn.changes.iter().any(dead) {
             return TxnOutcome::Refused;
@@ -92,7 +116,21 @@
         TxnOutcome::Committed(self.revision)
     }
 
-    pub fn events(&self, after: Revision) -> Vec<Event> {
+    fn is_too_large(&self, txn: &Txn) -> bool {
+        let Some((value_bytes, changes)) = self.limits else {
+            return false;
+        };
+        let size = |change: &Change| match change {
+            Change::Put { value, .. } => value.to_string().len(),
+            Change::Delete { .. } => 0,
+        };
+        let large = |change: &Change| size(change) > value_bytes;
+        txn.changes.len() > changes
+            || txn.conditions.len() > 4 * changes
+            || txn.changes.iter().any(large)
+    }
+
+    pub fn events(&self, after: Revision, earlier: bool) -> Vec<Event> {
         let from = self.log.partition_point(|(r, _, _)| *r <= after);
         let list = self.log[from..]
             .iter()
@@ -100,16 +138,23 @@
         list.map(|(revision, key, value)| Event {
             put: value.is_some().then(|| key.clone()),
             delete: value.is_none().then(|| key.clone()),
-            value: value.clone().unwrap_or_default(),
+            value: match earlier {
+                true => as_earlier(value.clone().unwrap_or_default()),
+                false => value.clone().unwrap_or_default(),
+            },
             revision: *revision,
         })
         .collect()
     }
 
-    pub fn snapshot(&self) -> Replica {
-        let mut replica = Replica::new(&sample_config());
+    pub fn snapshot(&self, config: &Config, earlier: bool) -> Replica {
+        let mut replica = Replica::new(config);
         for (key, (value, revision, grant)) in &self.keys {
-            let (key, value) = (key.clone(), value.clone());
+            let value = match earlier {
+                true => as_earlier(value.clone()),
+                false => value.clone(),
+            };
+            let key = key.clone();
             replica.load(Item {
                 key,
                 value,
--- /dev/null
+++ b/src/sim/pipelines.rs
@@ -0,0 +1,295 @@
+//! Users who submit jobs that need others, and what is checked of them: no task starts too early,
+//! and no job is left behind by the cancellation of one that it needs.
+
+use super::world::{Breakage, CANCEL, What, World};
+use crate::controller::Effect;
+use crate::ids::{JobId, Time, Wall};
+use crate::intake::dependencies::{Cascade, CascadeStep, Dependencies, Named, named_in_mirror};
+use crate::store::records::{JobRecord, OverRecord};
+use crate::store::{TxnOutcome, keys};
+use crate::wire::{JobSpec, JobState, Kind};
+use std::collections::BTreeSet;
+
+/// Users repeat what was not answered.
+const AGAIN: u64 = 1000;
+/// A submission whose named jobs have changed is decided anew after this.
+const CHANGED: u64 = 20;
+/// Jobs that users name are among the last so many.
+const RECENT: u64 = 8;
+const LOOK: u64 = 15;
+/// Percent of the cancelled jobs that users name all the same.
+const NAMED_ALL_THE_SAME: u64 = 10;
+
+/// Dependent jobs as they came to be; a day without any shows nothing.
+#[derive(Debug, Default)]
+pub struct PipelineCounts {
+    pub submitted: u64,
+    /// Accepted with dependencies that were not over.
+    pub waited: u64,
+    pub released: u64,
+    /// Accepted as cancelled, and cancelled later with what they needed.
+    pub cancelled_at_once: u64,
+    pub cancelled_with: u64,
+    /// Submissions put off since a controller of an earlier version took part.
+    pub put_off: u64,
+    /// Stood on record when the user of a job that they need was told.
+    pub left_when_told: u64,
+}
+
+impl PipelineCounts {
+    pub fn add(&mut self, other: &Self) {
+        self.submitted += other.submitted;
+        self.waited += other.waited;
+        self.released += other.released;
+        self.cancelled_at_once += other.cancelled_at_once;
+        self.cancelled_with += other.cancelled_with;
+        self.put_off += other.put_off;
+        self.left_when_told += other.left_when_told;
+    }
+}
+
+impl World {
+    /// Names some recent jobs, whatever has become of them. Users know only those that were
+    /// accepted.
+    pub fn name_dependencies(&mut self, spec: &mut JobSpec) {
+        let known = self.jobs.iter().rev();
+        let recent = known.filter(|(id, s)| s.kind != Kind::Service && self.is_accepted(id));
+        let recent: Vec<JobId> = recent
+            .map(|(id, _)| id.clone())
+            .take(RECENT as usize)
+            .collect();
+        let most = (recent.len() as u64).min(3);
+        let mut named = BTreeSet::new();
+        for _ in 0..self.pick(0, most) {
+            let at = self.pick(0, recent.len() as u64 - 1) as usize;
+            let cancelled = self.final_state(&recent[at]) == Some(JobState::Cancelled);
+            if !cancelled || self.chance(NAMED_ALL_THE_SAME) {
+                named.insert(recent[at].clone());
+            }
+        }
+        spec.dependencies = named.into_iter().collect();
+    }
+
+    fn is_accepted(&self, id: &JobId) -> bool {
+        let keys = &self.store.keys;
+        keys.contains_key(&keys::job(id)) || keys.contains_key(&keys::over(id))
+    }
+
+    /// Submits a job that names others through some controller, as the intake does it.
+    pub fn submit_dependent(&mut self, spec: JobSpec) {
+        if self.is_accepted(&spec.id) {
+            return;
+        }
+        let Some(node) = self.serving_node() else {
+            self.after(AGAIN, What::Submit(spec));
+            return;
+        };
+        let Some(controller) = &self.nodes[node].controller else {
+            return;
+        };
+        let guarded = self.breakage != Breakage::OldVersionsTrusted;
+        if guarded && !controller.replica.all_know_dependencies() {
+            self.pipelines.put_off += 1;
+            self.after(AGAIN, What::Submit(spec));
+            return;
+        }
+        let ids = spec.dependencies.iter();
+        let named = ids.map(|id| (id.clone(), self.named(node, id)));
+        let dependencies = Dependencies::of(&spec.id, named.collect());
+        self.write_submission(&spec, &dependencies);
+    }
+
+    fn write_submission(&mut self, spec: &JobSpec, dependencies: &Dependencies) {
+        let decided = match self.breakage {
+            Breakage::DependenciesIgnored => &Dependencies::Done,
+            _ => dependencies,
+        };
+        let (now, ops) = (Wall(self.now.0), self.nodes[0].config.state.txn_ops);
+        let Some((txn, state)) = decided.accept(spec, now, ops) else {
+            self.breaks("not_accepted", format!("{} {dependencies:?}", spec.id));
+            return;
+        };
+        match self.ask(txn) {
+            TxnOutcome::Committed(_) => {
+                let counts = &mut self.pipelines;
+                counts.submitted += 1;
+                counts.waited += u64::from(matches!(dependencies, Dependencies::Open(_)));
+                counts.cancelled_at_once += u64::from(state == JobState::Cancelled);
+                if state == JobState::Cancelled {
+                    self.check_over();
+                }
+            }
+            _ => self.after(CHANGED, What::Submit(spec.clone())),
+        }
+    }
+
+    /// A controller that can decide: it runs, and the state service serves it.
+    fn serving_node(&mut self) -> Option<usize> {
+        let able = |n: &usize| {
+            let node = &self.nodes[*n];
+            let served = node.store_cut_until <= self.now && node.frozen_until <= self.now;
+            node.controller.is_some() && served
+        };
+        let able: Vec<usize> = (0..self.nodes.len()).filter(able).collect();
+        let last = able.len().checked_sub(1)? as u64;
+        let at = self.pick(0, last) as usize;
+        able.get(at).copied()
+    }
+
+    fn named(&self, node: usize, id: &JobId) -> Named {
+        let controller = self.nodes[node].controller.as_ref();
+        let shown = controller.and_then(|c| named_in_mirror(id, &c.replica));
+        // What the mirror shows may be old: the conditions of the write tell, and then the records
+        // are read.
+        let stands = |named: &Named| {
+            let found = self.store.keys.get(&keys::job(id)).map(|k| k.1);
+            matches!(named, Named::Live { revision, .. } if found == Some(*revision))
+        };
+        if let Some(live) = shown.filter(stands) {
+            return live;
+        }
+        if let Some((value, revision, _)) = self.store.keys.get(&keys::job(id)) {
+            let record: JobRecord = serde_json::from_value(value.clone()).expect("record");
+            let (kind, revision) = (record.spec.kind, *revision);
+            return Named::Live { kind, revision };
+        }
+        match self.final_state(id) {
+            Some(JobState::Cancelled) => Named::Cancelled,
+            Some(_) => Named::Done,
+            None => Named::Never,
+        }
+    }
+
+    fn final_state(&self, id: &JobId) -> Option<JobState> {
+        let (value, ..) = self.store.keys.get(&keys::over(id))?;
+        let record: OverRecord = serde_json::from_value(value.clone()).expect("record");
+        Some(record.state)
+    }
+
+    /// Cancels what needs a cancelled job before its user is told, as the intake does it.
+    pub fn cascade(
+        &mut self,
+        node: usize,
+        life: u64,
+        job: JobId,
+        mut cascade: Cascade,
+        until: Time,
+    ) {
+        if self.breakage == Breakage::DependentsKept {
+            self.confirm(&job);
+            return;
+        }
+        let now = self.now;
+        let ops = self.nodes[node].config.state.txn_ops;
+        let served = self.nodes[node].store_cut_until <= now;
+        let asked = &mut self.nodes[node];
+        let Some(controller) = asked.controller.as_mut().filter(|_| asked.life == life) else {
+            self.after(AGAIN, What::Cancel(job));
+            return;
+        };
+        let step = cascade.next(&controller.replica, ops);
+        match step {
+            CascadeStep::Complete => {
+                self.count_left(&job);
+                self.confirm(&job);
+                return;
+            }
+            _ if now > until => {
+                self.after(AGAIN, What::Cancel(job));
+                return;
+            }
+            CascadeStep::Write(txn, jobs) if served => {
+                let outcome = self.ask(txn);
+                self.check_over();
+                if let TxnOutcome::Committed(at) = outcome {
+                    cascade.committed(at);
+                    self.pipelines.cancelled_with += jobs.len() as u64;
+                    self.with(node, life, |c| {
+                        c.dependents_cancelled(&jobs, at);
+                        Vec::new()
+                    });
+                }
+            }
+            CascadeStep::Write(..) | CascadeStep::Wait => {}
+        }
+        self.after(LOOK, What::Cascade(node, life, job, cascade, until));
+    }
+
+    fn count_left(&mut self, told: &JobId) {
+        let left = self.jobs.keys().filter(|id| {
+            self.store.keys.contains_key(&keys::job(id)) && self.ancestors(id).contains(told)
+        });
+        self.pipelines.left_when_told += left.count() as u64;
+    }
+
+    /// All jobs that a job needs, directly or through others.
+    fn ancestors(&self, id: &JobId) -> BTreeSet<JobId> {
+        let mut found = BTreeSet::new();
+        let mut open = vec![id.clone()];
+        while let Some(next) = open.pop() {
+            for parent in &self.jobs[&next].dependencies {
+                if found.insert(parent.clone()) {
+                    open.push(parent.clone());
+                }
+            }
+        }
+        found
+    }
+
+    fn is_done(&self, id: &JobId) -> bool {
+        let done = self.done_runs.get(id).map_or(0, BTreeSet::len);
+        done >= self.jobs[id].tasks as usize
+    }
+
+    /// `too_early`.
+    pub fn check_too_early(&mut self, spec: &JobSpec) {
+        let open = spec.dependencies.iter().find(|id| !self.is_done(id));
+        if let Some(open) = open.cloned() {
+            self.breaks("too_early", format!("{} before {open}", spec.id));
+        }
+    }
+
+    /// `orphaned`: it would still be called queued or running.
+    pub fn check_orphaned(&mut self) {
+        let late = |id: &JobId| {
+            let told = self.cancelled.get(id);
+            told.is_some_and(|at| self.now.since(*at).0 > CANCEL)
+        };
+        let live = self.jobs.keys();
+        let live = live.filter(|id| self.store.keys.contains_key(&keys::job(id)));
+        let orphans = live.filter(|id| self.ancestors(id).iter().any(late));
+        let orphans: Vec<JobId> = orphans.cloned().collect();
+        for orphan in orphans {
+            self.breaks("orphaned", orphan);
+        }
+    }
+
+    /// A job is only cancelled if its user has asked for it, or with one that it needs.
+    pub fn check_reason(&mut self, id: &JobId) {
+        let asked = |id: &JobId| self.cancelling.contains(id) || self.cancelled.contains_key(id);
+        let mut reasons = self.ancestors(id);
+        reasons.insert(id.clone());
+        if !reasons.iter().any(asked) {
+            self.breaks("cancelled_without_reason", id);
+        }
+    }
+
+    /// Whether something that a job needs is not done: it may wait however much room there is.
+    pub fn waits_for_others(&self, spec: &JobSpec) -> bool {
+        let mut needed = spec.dependencies.iter();
+        needed.any(|id| self.final_state(id) != Some(JobState::Done))
+    }
+
+    /// Counts what the leader does for dependent jobs.
+    pub fn count_dependents(&mut self, effects: &[Effect]) {
+        use crate::controller::TxnOwner;
+        let is_release = |e: &&Effect| {
+            let owner = match e {
+                Effect::Txn { owner, .. } => owner,
+                _ => return false,
+            };
+            matches!(owner, TxnOwner::Dependent(_))
+        };
+        self.pipelines.released += effects.iter().filter(is_release).count() as u64;
+    }
+}
--- a/src/sim/users.rs
+++ b/src/sim/users.rs
@@ -44,7 +44,34 @@
             body["shape"] = json!("group");
             body["sheets"] = json!(self.pick(2, 5));
         }
-        let spec = JobSpec::parse(body.to_string().as_bytes()).expect("valid");
+        let mut spec = JobSpec::parse(body.to_string().as_bytes()).expect("valid");
+        if self.trouble.pipelines && spec.kind != Kind::Service {
+            self.name_dependencies(&mut spec);
+        }
+        if spec.dependencies.is_empty() {
+            self.submit_alone(&spec);
+            self.jobs.insert(spec.id.clone(), spec);
+        } else {
+            self.jobs.insert(spec.id.clone(), spec.clone());
+            self.submit_dependent(spec);
+        }
+        // With a cancelled job goes all that needs it.
+        let cancelled = if self.trouble.pipelines { 8 } else { 25 };
+        if n > 3 && self.chance(cancelled) {
+            let at = self.pick(0, n as u64 - 1) as usize;
+            if let Some(id) = self.jobs.keys().nth(at).cloned() {
+                self.cancel(&id);
+            }
+        }
+        // The jobs of a pipeline come one right after another.
+        let ms = match self.trouble.pipelines && !self.trouble.crowd {
+            true => self.pick(100, 2500),
+            false => self.pick(1500, 6000),
+        };
+        self.after(ms, What::User);
+    }
+
+    fn submit_alone(&mut self, spec: &JobSpec) {
         let mut txn = Txn::default();
         txn.require(keys::job(&spec.id), Revision(0));
         txn.require(keys::over(&spec.id), Revision(0));
@@ -54,15 +81,6 @@
             None,
         );
         self.ask(txn);
-        self.jobs.insert(spec.id.clone(), spec);
-        if n > 3 && self.chance(25) {
-            let at = self.pick(0, n as u64 - 1) as usize;
-            if let Some(id) = self.jobs.keys().nth(at).cloned() {
-                self.cancel(&id);
-            }
-        }
-        let ms = self.pick(1500, 6000);
-        self.after(ms, What::User);
     }
 
     /// What a user asks, as the intake writes it; it may come once more.
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -1,14 +1,16 @@
 //! Simulated time, the network between the parts, the troubles, and the checks.
 
 use super::outside::{StoreModel, Worker, WorkerTask};
+use super::pipelines::PipelineCounts;
 use crate::cancellation::RoundId;
 use crate::cloud::RentOutcome;
 use crate::config::tests::sample_config;
 use crate::config::{Config, Team};
 use crate::controller::{Controller, Effect, TxnOwner};
 use crate::ids::{GrantId, Incarnation, JobId, MachineId, Member, Revision, Session, Time, Token};
+use crate::intake::dependencies::Cascade;
 use crate::peers::{Message, over_link};
-use crate::store::records::{MemberRecord, OverRecord};
+use crate::store::records::{MemberRecord, OverRecord, ProgramVersion};
 use crate::store::tokens::Bucket;
 use crate::store::{TxnOutcome, keys};
 use crate::wire::state::Txn;
@@ -61,6 +63,12 @@
     pub ends: bool,
     /// Two zones can't reach each other, and a third reaches both.
     pub partition: bool,
+    /// Users name other jobs that have to be done first.
+    pub pipelines: bool,
+    /// Controllers begin as the earlier version, and come back as this one, one after the other.
+    pub upgrade: bool,
+    /// The state service lowers its limits after a while.
+    pub limits: bool,
 }
 
 /// How many controllers there are, and zones.
@@ -90,6 +98,31 @@
 }
 
 impl Trouble {
+    pub const NONE: Self = Self {
+        crashes: false,
+        lost_answers: false,
+        machines: false,
+        store_cuts: false,
+        deaf: false,
+        copies: false,
+        apart: false,
+        flaps: false,
+        crowd: false,
+        freezes: false,
+        zone: false,
+        repeats: false,
+        gap: false,
+        mute: false,
+        slow: false,
+        leaders: false,
+        away: false,
+        ends: false,
+        partition: false,
+        pipelines: false,
+        upgrade: false,
+        limits: false,
+    };
+
     pub const ALL: Self = Self {
         crashes: true,
         lost_answers: true,
@@ -110,6 +143,9 @@
         away: true,
         ends: true,
         partition: false,
+        pipelines: false,
+        upgrade: false,
+        limits: false,
     };
 }
 
@@ -135,6 +171,14 @@
     StartsIgnored,
     /// Workers forget exited tasks once they have reported them, as if told to at once.
     ForgottenAtOnce,
+    /// Jobs are accepted as if nothing that they name had to be done first.
+    DependenciesIgnored,
+    /// A job that has left the mirror counts as done.
+    MissingCountsAsDone,
+    /// Jobs that need a cancelled one are left as they are.
+    DependentsKept,
+    /// Jobs that name others are accepted while an earlier version takes part.
+    OldVersionsTrusted,
 }
 
 pub enum What {
@@ -172,6 +216,14 @@
     OutageEnds,
     EndLeader,
     CancelAtEnd(JobId),
+    /// A user submits a job that names others, or does so again.
+    Submit(JobSpec),
+    /// What needs a cancelled job is cancelled too, until then.
+    Cascade(usize, u64, JobId, Cascade, Time),
+    /// A controller ends and comes back as the present version.
+    Upgrade(usize),
+    /// The state service takes less from now on.
+    LowerLimits,
 }
 
 impl What {
@@ -185,6 +237,7 @@
             | Self::CallDone(node, ..)
             | Self::Peer(node, ..)
             | Self::Told(node, ..)
+            | Self::Cascade(node, ..)
             | Self::Checkin(node, ..)
             | Self::Copy(node, _) => Some(*node),
             _ => None,
@@ -224,6 +277,8 @@
     pub frozen_until: Time,
     /// Cancelled jobs whose record this life has written or read.
     pub over: BTreeSet<JobId>,
+    /// It runs the earlier version of the program.
+    pub earlier: bool,
 }
 
 /// A large fleet: what the settings allow is then refused beyond its rates, and counted.
@@ -301,6 +356,7 @@
     /// Until when a controller stood still last.
     pub stood_still_until: Time,
     pub scale: Option<Scale>,
+    pub pipelines: PipelineCounts,
 }
 
 /// As many of them as there are controllers.
@@ -337,6 +393,7 @@
                 peers_cut_until: Time(0),
                 frozen_until: Time(0),
                 over: BTreeSet::new(),
+                earlier: trouble.upgrade,
             }
         });
         let mut world = Self {
@@ -379,6 +436,7 @@
             ghosts: BTreeMap::new(),
             stood_still_until: Time(0),
             scale: None,
+            pipelines: PipelineCounts::default(),
         };
         for _ in 0..4 {
             let id = world.new_machine(false);
@@ -390,6 +448,9 @@
         world.after(3000, What::User);
         world.after(500, What::Gangs);
         world.after(8000, What::Trouble);
+        if trouble.upgrade || trouble.limits {
+            world.begin_upgrade();
+        }
         if trouble.leaders {
             world.after(12_000, What::EndLeader);
         }
@@ -639,6 +700,12 @@
             What::Outage(ms) => self.begin_outage(ms),
             What::EndLeader => self.end_leader(),
             What::CancelAtEnd(job) => self.cancel(&job),
+            What::Submit(spec) => self.submit_dependent(spec),
+            What::Cascade(node, life, job, cascade, until) => {
+                self.cascade(node, life, job, cascade, until);
+            }
+            What::Upgrade(node) => self.upgrade(node),
+            What::LowerLimits => self.lower_limits(),
             What::OutageEnds => {
                 if self.outage_until <= self.now {
                     self.end_outage();
@@ -669,7 +736,7 @@
         n.position = Revision(0);
         n.over.clear();
         let mut controller = Controller::new(&n.config, incarnation);
-        let effects = controller.on_snapshot(self.now, self.store.snapshot());
+        let effects = controller.on_snapshot(self.now, self.store.snapshot(&n.config, n.earlier));
         n.position = self.store.revision;
         n.controller = Some(controller);
         n.old_grant = n.grant.take();
@@ -690,12 +757,12 @@
             self.store.create_grant(Time(self.now.0 + 5000));
         }
         let member = Member::from(MEMBERS[node]);
+        let mut record = MemberRecord::new(incarnation, grant);
+        if self.nodes[node].earlier {
+            record.version = ProgramVersion::default();
+        }
         let mut txn = Txn::default();
-        txn.put(
-            keys::member(&member),
-            &MemberRecord::new(incarnation, grant),
-            Some(grant),
-        );
+        txn.put(keys::member(&member), &record, Some(grant));
         self.store.txn(&txn);
         self.nodes[node].grant = Some(grant);
         let (now, life) = (self.now, self.nodes[node].life);
@@ -732,7 +799,8 @@
             return;
         }
         if self.nodes[node].store_cut_until <= self.now {
-            let events = self.store.events(self.nodes[node].position);
+            let earlier = self.nodes[node].earlier;
+            let events = self.store.events(self.nodes[node].position, earlier);
             let revision = self.store.revision;
             self.nodes[node].position = revision;
             if !events.is_empty() {
@@ -750,8 +818,13 @@
 
     pub fn carry_out(&mut self, node: usize, effects: Vec<Effect>) {
         let life = self.nodes[node].life;
+        self.count_dependents(&effects);
         for effect in effects {
             match effect {
+                Effect::Txn {
+                    owner: TxnOwner::CancelledDependents(_),
+                    ..
+                } if self.breakage == Breakage::DependentsKept => {}
                 Effect::Txn { owner, txn, .. } => {
                     let slow = self.slow_until > self.now;
                     let lost =
@@ -802,7 +875,8 @@
                     }
                 }
                 effect => {
-                    let ms = self.pick(50, 200);
+                    let at_once = self.breakage == Breakage::MissingCountsAsDone;
+                    let ms = if at_once { 0 } else { self.pick(50, 200) };
                     self.after(ms, What::Cloud(node, life, effect));
                 }
             }
@@ -992,6 +1066,7 @@
     pub fn gangs(&mut self) {
         let now = self.now;
         self.check_cancelled();
+        self.check_orphaned();
         self.check_waiting();
         self.check_ghosts_go();
         let mut there: BTreeMap<(JobId, crate::ids::Attempt), Vec<TaskState>> = BTreeMap::new();
@@ -1210,6 +1285,10 @@
                 let record = over.and_then(|v| serde_json::from_value(v.0.clone()).ok());
                 let cut = self.nodes[node].store_cut_until > now;
                 if let Some(OverRecord { state, .. }) = record.filter(|_| !cut) {
+                    let state = match self.breakage {
+                        Breakage::MissingCountsAsDone => JobState::Done,
+                        _ => state,
+                    };
                     self.with(node, life, |c| c.on_standing(now, &job, state));
                 }
             }
