--- a/src/compatibility/mod.rs
+++ b/src/compatibility/mod.rs
@@ -4,10 +4,15 @@
 //! During an upgrade both versions serve side by side, each on the other's data. A frame that
 //! differs closes the link, and a record that can't be read is ignored, so neither may change.
 
+mod old_records;
 mod samples;
 
+use crate::ids::{GrantId, Incarnation, Wall};
 use crate::peers::encode_frame;
-use samples::{messages, records};
+use crate::store::records::{JobRecord, MemberRecord, PlanRecord, ProgramVersion};
+use samples::{JOB, machine_record, messages, records};
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
 
 /// One line a message: its name and the bytes of its frame in hexadecimal digits.
 const FRAMES: &str = include_str!("golden/frames.txt");
@@ -34,3 +39,55 @@
 fn records_are_written_as_the_version_in_production_writes_them() {
     assert_eq!(lines(records(), ToString::to_string), RECORDS);
 }
+
+fn golden(name: &str) -> Value {
+    let mut lines = RECORDS.lines().filter_map(|line| line.split_once(' '));
+    let record = lines.find(|(n, _)| *n == name).expect("a sample").1;
+    serde_json::from_str(record).expect("json")
+}
+
+fn read_by_old<T: DeserializeOwned>(value: Value) -> T {
+    serde_json::from_value(value).expect("readable for the version in production")
+}
+
+/// What production has written is read: fields that it does not know are absent.
+#[test]
+fn records_of_the_version_in_production_are_read() {
+    let job: JobRecord = serde_json::from_value(golden("job")).expect("job");
+    assert!(!job.is_waiting() && job.spec.dependencies.is_empty());
+    assert_eq!(job.spec.id.as_str(), JOB);
+    let old = json!({"incarnation": 12, "grant": 7});
+    let member: MemberRecord = serde_json::from_value(old).expect("member");
+    assert!(member.version < ProgramVersion::DEPENDENCIES);
+    let machine = serde_json::from_value(golden("machine")).expect("machine");
+    assert_eq!(machine_record(), machine);
+    let plans: crate::store::records::PlanBatch =
+        serde_json::from_value(golden("plans")).expect("plans");
+    assert_eq!(plans[&crate::ids::JobId::from(JOB)].joins, None);
+}
+
+/// What this version writes is read by production's types, new fields and all.
+#[test]
+fn records_of_this_version_are_read_by_the_version_in_production() {
+    let member = MemberRecord::new(Incarnation(12), GrantId(7));
+    let read: old_records::Member = read_by_old(json!(member));
+    assert_eq!((read.incarnation, read.grant), (12, 7));
+    let mut spec = crate::wire::tests::spec(JOB);
+    let plain: old_records::Job = read_by_old(golden("job"));
+    spec.dependencies = vec!["job-000001".into()];
+    let mut record = JobRecord::new(spec, Wall(plain.accepted));
+    record.released = Some(Wall(1_700_000_000_500));
+    assert_eq!(read_by_old::<old_records::Job>(json!(record)), plain);
+    let plan = PlanRecord {
+        type_name: Some("t8".into()),
+        machines: vec!["vm-000231".into()],
+        predicted_s: 28.5,
+        joins: Some("job-000001".into()),
+    };
+    let read: old_records::Plans = read_by_old(json!({ JOB: plan }));
+    assert_eq!(read, read_by_old::<old_records::Plans>(golden("plans")));
+    let read: old_records::Machine = read_by_old(json!(machine_record()));
+    assert_eq!(read, read_by_old::<old_records::Machine>(golden("machine")));
+    let over: old_records::Over = read_by_old(golden("over-cancelled"));
+    assert_eq!((over.state.as_str(), over.tasks), ("withdrawn", 4));
+}
--- a/src/intake/dependencies.rs
+++ b/src/intake/dependencies.rs
@@ -119,3 +119,6 @@
         false
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/intake/dependencies/tests.rs
@@ -0,0 +1,198 @@
+//! Submissions that name other jobs, over HTTP against a stand-in of the state service.
+
+use crate::http::Response;
+use crate::ids::{GrantId, Incarnation, Member};
+use crate::intake::Intake;
+use crate::intake::service::tests::{Scene, body, stand};
+use crate::runtime;
+use crate::store::keys;
+use crate::store::records::{MemberRecord, OverRecord, ProgramVersion};
+use crate::wire::JobState;
+use serde_json::{Value, json};
+
+async fn submit(intake: &Intake, id: &str, awaits: Value) -> Response {
+    let body = body(id, |b| b["awaits"] = awaits.clone());
+    intake.submit(&body).await
+}
+
+fn told(response: &Response) -> (u16, String) {
+    let text = String::from_utf8_lossy(&response.body).into_owned();
+    (response.status, text)
+}
+
+#[test]
+fn what_can_be_named_is_told_from_what_cannot() {
+    runtime::run(async {
+        let scene = Scene::new();
+        let (intake, _asked) = scene.intake(true);
+        assert_eq!(submit(&intake, "job-1", json!(null)).await.status, 201);
+        let service = body("job-2", |b| b["shape"] = json!("daemon"));
+        assert_eq!(intake.submit(&service).await.status, 201);
+        // At the controller that accepted them, and at one whose mirror shows them.
+        let (other, _asked_there) = scene.intake(true);
+        scene.catch_up(&other);
+        for (n, intake) in [&intake, &other].into_iter().enumerate() {
+            let id = format!("job-1{n}");
+            let cases = [
+                (json!(["job-9"]), 422, "job-9"),
+                (json!([id]), 422, id.as_str()),
+                (json!(["job-1", "job-2"]), 422, "job-2"),
+                (json!("job-1"), 400, "awaits"),
+                (json!(["vm-1"]), 400, "awaits"),
+                (json!([1]), 400, "awaits"),
+            ];
+            for (awaits, status, named) in cases {
+                let refused = told(&submit(intake, &id, awaits.clone()).await);
+                assert!(
+                    refused.0 == status && refused.1.contains(named),
+                    "{awaits} {refused:?}"
+                );
+            }
+            let accepted = submit(intake, &id, json!(["job-1", "job-1"])).await;
+            assert_eq!(stand(&accepted), (201, "pending".into()));
+            assert_eq!(stand(&intake.poll(&id).await), (200, "pending".into()));
+        }
+    })
+    .expect("loop");
+}
+
+/// A list that the smaller value limit can't hold is refused for good; everything else that fails
+/// comes back at once with when to return.
+#[test]
+fn long_lists_and_times_without_answers_are_told_apart() {
+    runtime::run(async {
+        let scene = Scene::new();
+        let (intake, _asked) = scene.intake(true);
+        let many: Vec<String> = (0..2000).map(|n| format!("job-{n:06}")).collect();
+        assert_eq!(submit(&intake, "job-1", json!(many)).await.status, 422);
+        assert_eq!(submit(&intake, "job-1", json!(null)).await.status, 201);
+        scene.state.borrow_mut().away = true;
+        let (fresh, _asked_there) = scene.intake(true);
+        let refused = submit(&fresh, "job-3", json!(["job-1"])).await;
+        assert!(refused.status == 503 && refused.retry_after.is_some());
+        scene.state.borrow_mut().away = false;
+        // The next submission is a probe of whether it is back.
+        let mut answer = submit(&fresh, "job-4", json!(["job-1"])).await;
+        for _ in 0..2 {
+            if answer.status == 503 {
+                answer = submit(&fresh, "job-4", json!(["job-1"])).await;
+            }
+        }
+        assert_eq!(stand(&answer), (201, "pending".into()));
+    })
+    .expect("loop");
+}
+
+/// What was accepted is known, whatever has become of what it names, or of the list.
+#[test]
+fn a_repeat_of_an_accepted_job_comes_before_all_checks() {
+    runtime::run(async {
+        let scene = Scene::new();
+        let (intake, _asked) = scene.intake(true);
+        assert_eq!(submit(&intake, "job-1", json!(null)).await.status, 201);
+        assert_eq!(submit(&intake, "job-3", json!(["job-1"])).await.status, 201);
+        for awaits in [
+            json!(["job-1"]),
+            json!(["job-9"]),
+            json!("job-1"),
+            json!(["job-3"]),
+        ] {
+            let known = submit(&intake, "job-3", awaits.clone()).await;
+            assert_eq!(stand(&known), (200, "pending".into()), "{awaits}");
+        }
+    })
+    .expect("loop");
+}
+
+/// A job that names a cancelled one is accepted and cancelled; one that names jobs which are done
+/// waits for nothing.
+#[test]
+fn named_jobs_that_are_over_decide_at_once() {
+    runtime::run(async {
+        let scene = Scene::new();
+        let (intake, _asked) = scene.intake(true);
+        for (id, state) in [("job-1", JobState::Done), ("job-2", JobState::Cancelled)] {
+            let record = json!(OverRecord { state, tasks: 4 });
+            let mut held = scene.state.borrow_mut();
+            held.revision += 1;
+            let at = held.revision;
+            held.keys.insert(keys::over(&id.into()), (record, at));
+        }
+        let cancelled = submit(&intake, "job-3", json!(["job-1", "job-2"])).await;
+        assert_eq!(stand(&cancelled), (201, "withdrawn".into()));
+        assert!(!scene.state.borrow().keys.contains_key("live/job/job-3"));
+        let ready = submit(&intake, "job-4", json!(["job-1"])).await;
+        assert_eq!(stand(&ready), (201, "pending".into()));
+        let held = scene.state.borrow();
+        assert!(held.keys["live/job/job-4"].0["released"].is_u64());
+    })
+    .expect("loop");
+}
+
+/// A controller of the version before would start such jobs at once.
+#[test]
+fn jobs_that_name_others_are_put_off_while_an_earlier_version_takes_part() {
+    runtime::run(async {
+        let scene = Scene::new();
+        let (intake, _asked) = scene.intake(true);
+        assert_eq!(submit(&intake, "job-1", json!(null)).await.status, 201);
+        let key = keys::member(&Member::from("c1"));
+        let write = |version| {
+            let record = MemberRecord {
+                version,
+                ..MemberRecord::new(Incarnation(3), GrantId(4))
+            };
+            let mut held = scene.state.borrow_mut();
+            held.revision += 1;
+            let at = held.revision;
+            held.keys.insert(key.clone(), (json!(record), at));
+            drop(held);
+            scene.catch_up(&intake);
+        };
+        write(ProgramVersion::default());
+        let put_off = submit(&intake, "job-3", json!(["job-1"])).await;
+        assert!(put_off.status == 503 && put_off.retry_after.is_some());
+        assert_eq!(submit(&intake, "job-2", json!(null)).await.status, 201);
+        write(ProgramVersion::CURRENT);
+        assert_eq!(submit(&intake, "job-3", json!(["job-1"])).await.status, 201);
+    })
+    .expect("loop");
+}
+
+/// The user of a job hears of its cancellation only after everything that needs it is cancelled.
+#[test]
+fn a_cancellation_is_told_after_what_needs_the_job_is_cancelled() {
+    runtime::run(async {
+        let scene = Scene::new();
+        let (intake, mut asked) = scene.intake(true);
+        let mut scope = runtime::Scope::default();
+        scope.spawn(async move {
+            while let Some(cancellation) = asked.recv().await {
+                cancellation.settled.send(true);
+            }
+        });
+        assert_eq!(submit(&intake, "job-1", json!(null)).await.status, 201);
+        assert_eq!(submit(&intake, "job-2", json!(["job-1"])).await.status, 201);
+        assert_eq!(submit(&intake, "job-3", json!(["job-2"])).await.status, 201);
+        // Its mirror has not come up to the cancellation: it can't know of all that need the job.
+        assert_eq!(intake.cancel("job-1").await.status, 503);
+        assert!(scene.state.borrow().keys.contains_key("live/job/job-2"));
+        scene.catch_up(&intake);
+        let mut answer = intake.cancel("job-1").await;
+        for _ in 0..3 {
+            if answer.status == 200 {
+                break;
+            }
+            scene.catch_up(&intake);
+            answer = intake.cancel("job-1").await;
+        }
+        assert_eq!(stand(&answer), (200, "withdrawn".into()));
+        for job in ["job-2", "job-3"] {
+            let live = keys::job(&job.into());
+            assert!(!scene.state.borrow().keys.contains_key(&live), "{job}");
+            let record = &scene.state.borrow().keys[&keys::over(&job.into())].0;
+            assert_eq!(record["state"], "withdrawn", "{job}");
+        }
+    })
+    .expect("loop");
+}
--- a/src/intake/service.rs
+++ b/src/intake/service.rs
@@ -367,4 +367,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub mod tests;
--- a/src/intake/service/tests.rs
+++ b/src/intake/service/tests.rs
@@ -59,10 +59,10 @@
 
 /// A state service that holds a few keys: enough for what the intake asks of it.
 #[derive(Default)]
-struct StandIn {
-    keys: BTreeMap<String, (Value, u64)>,
-    revision: u64,
-    away: bool,
+pub struct StandIn {
+    pub keys: BTreeMap<String, (Value, u64)>,
+    pub revision: u64,
+    pub away: bool,
 }
 
 impl StandIn {
@@ -108,14 +108,14 @@
     }
 }
 
-struct Scene {
-    state: Rc<RefCell<StandIn>>,
+pub struct Scene {
+    pub state: Rc<RefCell<StandIn>>,
     addr: SocketAddr,
     _served: Scope,
 }
 
 impl Scene {
-    fn new() -> Self {
+    pub fn new() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0".parse().expect("addr")).expect("bind");
         let addr = listener.local_addr().expect("addr");
         let state = Rc::new(RefCell::new(StandIn::default()));
@@ -134,7 +134,7 @@
 
     /// The intake of a controller that has just started: its mirror knows of no job, and of the
     /// machine types only if it is told.
-    fn intake(&self, types: bool) -> (Intake, Receiver<Cancellation>) {
+    pub fn intake(&self, types: bool) -> (Intake, Receiver<Cancellation>) {
         let config = sample_config();
         let mut limits = config.state;
         limits.rates.requests = 1e4;
@@ -161,7 +161,7 @@
 
 impl Scene {
     /// Brings a controller's mirror up to what the state service holds, as the stream does.
-    fn catch_up(&self, intake: &Intake) {
+    pub fn catch_up(&self, intake: &Intake) {
         let state = self.state.borrow();
         let live = |(key, _): &(&String, _)| key.starts_with(keys::LIVE);
         let mut replica = Replica::new(&intake.config);
@@ -181,13 +181,13 @@
     }
 }
 
-fn body(id: &str, change: impl Fn(&mut Value)) -> Vec<u8> {
+pub fn body(id: &str, change: impl Fn(&mut Value)) -> Vec<u8> {
     let mut body = crate::wire::tests::submission(id);
     change(&mut body);
     body.to_string().into_bytes()
 }
 
-fn stand(response: &Response) -> (u16, String) {
+pub fn stand(response: &Response) -> (u16, String) {
     let body: Value = serde_json::from_slice(&response.body).unwrap_or_default();
     let standing = body["standing"].as_str().unwrap_or_default();
     (response.status, standing.to_owned())
--- a/src/planning/pipeline/tests.rs
+++ b/src/planning/pipeline/tests.rs
@@ -1,1 +1,138 @@
+use super::*;
+use crate::config::tests::sample_config;
+use crate::ids::{Revision, Wall};
+use crate::store::keys;
+use crate::store::records::{HistoryRecord, JobRecord};
+use crate::wire::Catalog;
+use crate::wire::state::Item;
+use serde_json::json;
 
+struct Scene {
+    replica: Replica,
+    revision: u64,
+}
+
+impl Scene {
+    fn new() -> Self {
+        let mut scene = Self {
+            replica: Replica::new(&sample_config()),
+            revision: 0,
+        };
+        let hull = |name: &str, cores: u32| {
+            json!({"name": name, "cores": cores, "cards": 0, "memory_gb": 64, "cache_gb": 50,
+                   "fetch_gb_per_s": 1.0, "price": 1.0, "low_price": 0.4, "startup_s": 4,
+                   "berths": ["a"]})
+        };
+        let catalog = json!({"hulls": [hull("small", 4), hull("large", 16)]});
+        let catalog: Catalog = serde_json::from_value(catalog).expect("catalog");
+        scene.put(keys::CATALOG.to_owned(), json!(catalog));
+        scene
+    }
+
+    fn put(&mut self, key: String, value: serde_json::Value) {
+        self.revision += 1;
+        self.replica.load(Item {
+            key,
+            value,
+            revision: Revision(self.revision),
+            grant: None,
+        });
+    }
+
+    /// Accepts a job and plans it. Its pipeline has its own name.
+    fn accept(&mut self, id: &str, tasks: u32, parents: &[&str]) -> Vec<(JobId, PlanRecord)> {
+        let mut spec = crate::wire::tests::spec(id);
+        spec.pipeline = format!("p-{id}").as_str().into();
+        spec.tasks = tasks;
+        spec.dependencies = parents.iter().map(|p| JobId::from(*p)).collect();
+        let record = JobRecord::new(spec, Wall(0));
+        self.put(keys::job(&id.into()), json!(record));
+        let plans = plan_job(&id.into(), &self.replica);
+        for (planned, plan) in &plans {
+            assert!(self.replica.set_plan(planned, plan.clone()));
+        }
+        plans
+    }
+
+    /// The pipeline's history: parts of the estimate on each type.
+    fn history(&mut self, id: &str, small: f32, large: f32) {
+        let mut record = HistoryRecord::default();
+        record.types.insert("small".into(), vec![small; 3]);
+        record.types.insert("large".into(), vec![large; 3]);
+        let pipeline = format!("p-{id}").as_str().into();
+        self.put(keys::history(&pipeline), json!(record));
+    }
+}
+
+fn joins(plans: &[(JobId, PlanRecord)], id: &str) -> Option<String> {
+    let plan = plans.iter().find(|(planned, _)| planned.as_str() == id);
+    let joined = plan.and_then(|(_, p)| p.joins.as_ref());
+    joined.map(|parent| parent.as_str().to_owned())
+}
+
+#[test]
+fn a_child_joins_its_parent_and_one_of_several_the_largest() {
+    let mut scene = Scene::new();
+    assert_eq!(joins(&scene.accept("job-1", 3, &[]), "job-1"), None);
+    let only = scene.accept("job-2", 9, &["job-1"]);
+    assert_eq!(joins(&only, "job-2").as_deref(), Some("job-1"));
+    scene.accept("job-3", 2, &[]);
+    let gathers = scene.accept("job-4", 1, &["job-2", "job-3"]);
+    assert_eq!(joins(&gathers, "job-4").as_deref(), Some("job-2"));
+    // Jobs that are over, or never seen here, take no part.
+    let late = scene.accept("job-5", 1, &["job-9"]);
+    assert_eq!(joins(&late, "job-5"), None);
+}
+
+/// The strongest type first; off the critical path a weaker one, and again the stronger one when a
+/// later child makes the path critical. Jobs that run already keep their plan.
+#[test]
+fn jobs_off_the_critical_path_step_down_and_waiting_ones_are_planned_anew() {
+    let mut scene = Scene::new();
+    scene.history("job-2", 4.0, 2.0);
+    scene.history("job-4", 9.0, 5.0);
+    let short_ones = ["job-3", "job-5", "job-6", "job-7", "job-8", "job-9"];
+    for id in short_ones {
+        scene.history(id, 0.8, 0.4);
+    }
+    let name = |plans: &[(JobId, PlanRecord)], id: &str| {
+        let plan = plans.iter().find(|(planned, _)| planned.as_str() == id);
+        plan.and_then(|(_, p)| p.type_name.as_ref().map(|t| t.as_str().to_owned()))
+    };
+    scene.accept("job-1", 1, &[]);
+    let long = scene.accept("job-2", 1, &["job-1"]);
+    assert_eq!(name(&long, "job-2").as_deref(), Some("large"));
+    // At a fan-out the longer child leaves its parent's group.
+    let short = scene.accept("job-3", 1, &["job-1"]);
+    assert_eq!(name(&short, "job-3").as_deref(), Some("large"));
+    assert_eq!(joins(&short, "job-3").as_deref(), Some("job-1"));
+    assert_eq!(
+        joins(&short, "job-2"),
+        None,
+        "planned anew: it is the longer one"
+    );
+    for id in &short_ones[1..] {
+        scene.accept(id, 1, &["job-1"]);
+    }
+    // A longer path through another child: the group of job 2 and the short ones that found no
+    // place in their parent's is no longer critical, and steps down.
+    let longest = scene.accept("job-4", 1, &["job-1"]);
+    assert_eq!(name(&longest, "job-4").as_deref(), Some("large"));
+    assert_eq!(name(&longest, "job-2").as_deref(), Some("small"));
+    let planned: Vec<&str> = longest.iter().map(|(id, _)| id.as_str()).collect();
+    assert!(!planned.contains(&"job-1"), "it does not wait");
+}
+
+/// However large a pipeline is, a bounded part of it is planned with each job.
+#[test]
+fn a_part_of_a_large_pipeline_is_planned_with_each_job() {
+    let mut scene = Scene::new();
+    scene.accept("job-0", 1, &[]);
+    for n in 1..300 {
+        let (id, parent) = (format!("job-{n}"), format!("job-{}", n - 1));
+        scene.accept(&id, 1, &[&parent]);
+    }
+    assert_eq!(members(&"job-299".into(), &scene.replica).len(), MEMBERS);
+    let plan = scene.replica.plan(&"job-299".into()).expect("plan");
+    assert_eq!(plan.joins.as_ref().map(|j| j.as_str()), Some("job-298"));
+}
--- a/src/store/waiting/tests.rs
+++ b/src/store/waiting/tests.rs
@@ -1,1 +1,367 @@
+//! Compared with a slow plain model: lists of jobs, searched anew for each question.
 
+use super::*;
+use crate::wire::Priority;
+use proptest::prelude::*;
+
+/// One job of the model, by its number.
+#[derive(Clone, Debug)]
+struct ModelJob {
+    parents: Vec<usize>,
+    priority: Priority,
+    /// In seconds.
+    deadline: Option<f64>,
+    predicted: f64,
+    state: ModelState,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum ModelState {
+    Waiting,
+    Live,
+    Done,
+    Cancelled,
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A job with these parents, by their numbers modulo the jobs there are.
+    Accept {
+        parents: Vec<usize>,
+        priority: usize,
+        deadline: Option<u32>,
+        estimate: u32,
+    },
+    /// The job's final record is seen, or only that it has left the mirror.
+    End {
+        job: usize,
+        cancelled: bool,
+        noted: bool,
+    },
+    /// What has to be read is read.
+    Read,
+    Plan {
+        job: usize,
+        seconds: u32,
+    },
+}
+
+const PRIORITIES: [Priority; 4] = [
+    Priority::Low,
+    Priority::Normal,
+    Priority::High,
+    Priority::Production,
+];
+
+fn id(job: usize) -> JobId {
+    format!("job-{job:06}").as_str().into()
+}
+
+#[derive(Default)]
+struct Model {
+    jobs: Vec<ModelJob>,
+}
+
+impl Model {
+    fn stands(&self, job: usize) -> bool {
+        matches!(self.jobs[job].state, ModelState::Waiting | ModelState::Live)
+    }
+
+    fn children(&self, job: usize) -> Vec<usize> {
+        let waits = |c: &usize| {
+            let child = &self.jobs[*c];
+            child.state == ModelState::Waiting && child.parents.contains(&job)
+        };
+        (0..self.jobs.len()).filter(waits).collect()
+    }
+
+    /// By trying every path forward.
+    fn urgency(&self, job: usize) -> Urgency {
+        let own = &self.jobs[job];
+        let own_deadline = own.deadline.map(|s| Wall((s * 1000.0) as u64));
+        let mut urgency = Urgency {
+            priority: own.priority,
+            finish_by: own_deadline,
+        };
+        for child in self.children(job) {
+            let later = self.urgency(child);
+            urgency.priority = urgency.priority.max(later.priority);
+            let predicted = (self.jobs[child].predicted * 1000.0) as u64;
+            let start_by = later
+                .finish_by
+                .map(|at| Wall(at.0.saturating_sub(predicted)));
+            urgency.finish_by = match (urgency.finish_by, start_by) {
+                (Some(a), Some(b)) => Some(a.min(b)),
+                (a, b) => a.or(b),
+            };
+        }
+        urgency
+    }
+
+    fn may_start(&self, job: usize) -> bool {
+        let done = |p: &usize| self.jobs[*p].state == ModelState::Done;
+        self.jobs[job].parents.iter().all(done)
+    }
+
+    fn is_doomed(&self, job: usize) -> bool {
+        let mut parents = self.jobs[job].parents.iter();
+        self.jobs[job].state == ModelState::Cancelled || parents.any(|p| self.is_doomed(*p))
+    }
+}
+
+/// The real one, with the jobs that stand and do not wait beside it.
+#[derive(Default)]
+struct Real {
+    waiting: Waiting,
+    live: BTreeSet<JobId>,
+}
+
+impl Real {
+    fn accept(&mut self, job: usize, model: &ModelJob) {
+        if model.state == ModelState::Live {
+            self.live.insert(id(job));
+            self.waiting.stands(&id(job));
+            return;
+        }
+        let mut spec = crate::wire::tests::spec(id(job).as_str());
+        spec.dependencies = model.parents.iter().map(|p| id(*p)).collect();
+        spec.priority = model.priority;
+        spec.deadline_s = model.deadline;
+        spec.estimate_s = model.predicted;
+        let waiting = WaitingJob::new(spec, Wall(0), Revision(1), None);
+        let live = &self.live;
+        self.waiting
+            .insert(id(job), waiting, |id| live.contains(id));
+    }
+
+    fn leave(&mut self, job: usize) {
+        self.live.remove(&id(job));
+        self.waiting.remove(&id(job));
+        self.waiting.has_left(&id(job));
+    }
+}
+
+fn accept(model: &mut Model, real: &mut Real, step: &Step) {
+    let Step::Accept {
+        parents,
+        priority,
+        deadline,
+        estimate,
+    } = step
+    else {
+        return;
+    };
+    let count = model.jobs.len();
+    let mut parents: Vec<usize> = parents.iter().map(|p| p % count.max(1)).collect();
+    parents.retain(|p| *p < count);
+    parents.sort_unstable();
+    parents.dedup();
+    let state = |p: &usize| model.jobs[*p].state;
+    // As the intake decides it.
+    let state = if parents.iter().any(|p| state(p) == ModelState::Cancelled) {
+        ModelState::Cancelled
+    } else if parents.iter().all(|p| state(p) == ModelState::Done) {
+        ModelState::Live
+    } else {
+        ModelState::Waiting
+    };
+    let job = ModelJob {
+        parents,
+        priority: PRIORITIES[priority % 4],
+        deadline: deadline.map(f64::from),
+        predicted: f64::from(*estimate),
+        state,
+    };
+    if state != ModelState::Cancelled {
+        real.accept(count, &job);
+    }
+    model.jobs.push(job);
+}
+
+fn end(model: &mut Model, real: &mut Real, job: usize, cancelled: bool, noted: bool) {
+    if model.jobs.is_empty() {
+        return;
+    }
+    let job = job % model.jobs.len();
+    if !model.stands(job) || (!cancelled && model.jobs[job].state == ModelState::Waiting) {
+        return;
+    }
+    let (state, outcome) = match cancelled {
+        true => (ModelState::Cancelled, Outcome::Cancelled),
+        false => (ModelState::Done, Outcome::Done),
+    };
+    model.jobs[job].state = state;
+    // A final record may be known before the stream brings the change, or after, or only when it
+    // is read.
+    if noted && job % 2 == 0 {
+        real.waiting.note(&id(job), outcome);
+        real.leave(job);
+    } else {
+        real.leave(job);
+        if noted {
+            real.waiting.note(&id(job), outcome);
+        }
+    }
+}
+
+fn read(model: &Model, real: &mut Real) {
+    let unknown: Vec<JobId> = real.waiting.unknown().cloned().collect();
+    for asked in unknown {
+        let job: usize = asked.as_str()[4..].parse().expect("a number");
+        match model.jobs[job].state {
+            ModelState::Done => real.waiting.note(&asked, Outcome::Done),
+            ModelState::Cancelled => real.waiting.note(&asked, Outcome::Cancelled),
+            state => panic!("{asked} is {state:?} and was taken for over"),
+        }
+    }
+}
+
+/// Releases what is ready, cancels what is doomed: as the leader does it.
+fn lead(model: &mut Model, real: &mut Real) {
+    let ready: Vec<JobId> = real.waiting.ready().cloned().collect();
+    for released in ready {
+        let job: usize = released.as_str()[4..].parse().expect("a number");
+        assert!(model.may_start(job), "{released} is released too early");
+        model.jobs[job].state = ModelState::Live;
+        real.waiting.remove(&released);
+        real.live.insert(released);
+    }
+    loop {
+        let next = real.waiting.cancelled().next().cloned();
+        let Some(root) = next else {
+            return;
+        };
+        for dependent in real.waiting.descendants(&root) {
+            let job: usize = dependent.as_str()[4..].parse().expect("a number");
+            assert!(
+                model.is_doomed(job),
+                "{dependent} is cancelled without reason"
+            );
+            model.jobs[job].state = ModelState::Cancelled;
+            real.leave(job);
+            real.waiting.note(&dependent, Outcome::Cancelled);
+        }
+    }
+}
+
+fn compare(model: &Model, real: &Real) {
+    for (job, known) in model.jobs.iter().enumerate() {
+        let waits = known.state == ModelState::Waiting;
+        assert_eq!(real.waiting.contains(&id(job)), waits, "{job}");
+        if waits {
+            assert_eq!(real.waiting.urgency(&id(job)), Some(model.urgency(job)));
+        }
+        if known.state == ModelState::Live {
+            let own = Urgency {
+                priority: known.priority,
+                finish_by: known.deadline.map(|s| Wall((s * 1000.0) as u64)),
+            };
+            let inherited = real.waiting.inherited(&id(job));
+            let merged = inherited.map_or(own, |other| own.merge(other));
+            assert_eq!(merged, model.urgency(job), "live {job}");
+        }
+    }
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let accept = (
+        proptest::collection::vec(0usize..40, 0..4),
+        0usize..4,
+        proptest::option::of(50u32..500),
+        1u32..60,
+    );
+    let accept = accept.prop_map(|(parents, priority, deadline, estimate)| Step::Accept {
+        parents,
+        priority,
+        deadline,
+        estimate,
+    });
+    let end = (0usize..40, 0u32..4, any::<bool>());
+    let end = end.prop_map(|(job, kind, noted)| Step::End {
+        job,
+        cancelled: kind == 0,
+        noted,
+    });
+    let plan = (0usize..40, 1u32..90).prop_map(|(job, seconds)| Step::Plan { job, seconds });
+    prop_oneof![5 => accept, 4 => end, 2 => plan, 2 => Just(Step::Read)]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, rng_seed: proptest::test_runner::RngSeed::Fixed(22), failure_persistence: None, ..ProptestConfig::default() })]
+    /// Who may start, who is cancelled, effective priority and latest finish.
+    #[test]
+    fn waiting_jobs_agree_with_the_model(steps in proptest::collection::vec(step(), 1..60)) {
+        let (mut model, mut real) = (Model::default(), Real::default());
+        for step in &steps {
+            match step {
+                Step::Accept { .. } => accept(&mut model, &mut real, step),
+                Step::End { job, cancelled, noted } => {
+                    end(&mut model, &mut real, *job, *cancelled, *noted);
+                }
+                Step::Read => read(&model, &mut real),
+                Step::Plan { job, seconds } => {
+                    let job = job % model.jobs.len().max(1);
+                    if real.waiting.contains(&id(job)) {
+                        model.jobs[job].predicted = f64::from(*seconds);
+                        let plan = PlanRecord {
+                            type_name: None,
+                            machines: Vec::new(),
+                            predicted_s: f64::from(*seconds),
+                            joins: None,
+                        };
+                        real.waiting.set_plan(&id(job), plan);
+                    }
+                }
+            }
+            lead(&mut model, &mut real);
+            compare(&model, &real);
+        }
+        read(&model, &mut real);
+        lead(&mut model, &mut real);
+        compare(&model, &real);
+        // Nothing that could go on waits, and nothing that is doomed.
+        for (job, known) in model.jobs.iter().enumerate() {
+            let waits = known.state == ModelState::Waiting;
+            prop_assert!(!waits || (!model.may_start(job) && !model.is_doomed(job)));
+        }
+        // Nothing is kept of jobs on which none waits.
+        if real.waiting.len() == 0 {
+            let kept = (&real.waiting.dependents, &real.waiting.inherited, &real.waiting.outcomes);
+            prop_assert!(kept.0.is_empty() && kept.1.is_empty() && kept.2.is_empty());
+        }
+    }
+}
+
+/// A chain of thousands whose last job alone has a deadline costs a walk along it once, and a
+/// fan-out of thousands is not looked through for each of its jobs.
+#[test]
+fn long_chains_and_wide_fans_cost_what_has_changed() {
+    const JOBS: usize = 5000;
+    let mut real = Real::default();
+    let job = |parents: Vec<usize>, deadline| ModelJob {
+        parents,
+        priority: Priority::Low,
+        deadline,
+        predicted: 10.0,
+        state: ModelState::Waiting,
+    };
+    let first = ModelJob {
+        state: ModelState::Live,
+        ..job(Vec::new(), None)
+    };
+    real.accept(0, &first);
+    for n in 1..JOBS {
+        real.accept(n, &job(vec![n - 1], None));
+    }
+    real.accept(JOBS, &job(vec![JOBS - 1], Some(1e6)));
+    let urgency = real.waiting.inherited(&id(0)).expect("inherited");
+    let before = 10_000 * JOBS as u64;
+    assert_eq!(urgency.finish_by, Some(Wall(1_000_000_000 - before)));
+    for n in 0..JOBS {
+        real.accept(JOBS + 1 + n, &job(vec![0], Some(1e6)));
+    }
+    assert_eq!(real.waiting.descendants(&id(0)).len(), 2 * JOBS);
+    real.leave(0);
+    real.waiting.note(&id(0), Outcome::Done);
+    assert_eq!(real.waiting.ready().count(), JOBS + 1);
+}
