--- a/src/store/waiting/tests.rs
+++ b/src/store/waiting/tests.rs
@@ -193,7 +193,7 @@
     model.jobs[job].state = state;
     // A final record may be known before the stream brings the change, or after, or only when it
     // is read.
-    if noted && job % 2 == 0 {
+    if noted && job.is_multiple_of(2) {
         real.waiting.note(&id(job), outcome);
         real.leave(job);
     } else {
