--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -11,6 +11,10 @@
 const IDLE: Duration = Duration::from_secs(120);
 const SLOW: Duration = Duration::from_secs(10);
 
+/// One in so many of the connections are closed after each answer, so that many more callers than
+/// there are connections take turns: a fleet may have more machines than a controller has sockets.
+const SHARED_PART: usize = 4;
+
 /// Accepts connections for ever and answers each request with `handler`.
 pub async fn serve<F, A>(listener: TcpListener, limit: usize, handler: F)
 where
@@ -26,8 +30,9 @@
                 let held = Held::new(&open);
                 let handler = handler.clone();
                 runtime::spawn(async move {
-                    let _held = held;
-                    connection(stream, handler).await;
+                    let shared = || held.0.get() + limit / SHARED_PART > limit;
+                    connection(stream, handler, shared).await;
+                    drop(held);
                 });
             }
             Err(error) => {
@@ -120,7 +125,8 @@
     }
 }
 
-async fn connection<F, A>(mut stream: TcpStream, handler: F)
+/// `shared`: whether others wait for connections.
+async fn connection<F, A>(mut stream: TcpStream, handler: F, shared: impl Fn() -> bool)
 where
     F: Fn(Request) -> A,
     A: Future<Output = Response>,
@@ -138,6 +144,7 @@
                 buffer.drain(..used);
                 continued = false;
                 let response = handler(request).await;
+                let close = close || shared();
                 let bytes = encode(&response, close);
                 let written = runtime::timeout(SLOW, stream.write_all(&bytes)).await;
                 if close || !matches!(written, Some(Ok(()))) {
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -102,3 +102,30 @@
         parse(&text);
     }
 }
+
+/// Many more callers than connections: past a part of the limit each answer ends its connection, so
+/// all of them are answered in turn.
+#[test]
+fn near_the_limit_callers_take_turns() {
+    use crate::http::{Client, Method};
+    use crate::runtime::{self, TcpListener};
+    use std::rc::Rc;
+    use std::time::Duration;
+    runtime::run(async {
+        let listener = TcpListener::bind("127.0.0.1:0".parse().expect("addr")).expect("bind");
+        let addr = listener.local_addr().expect("addr");
+        let mut scope = runtime::Scope::default();
+        let answer = |_| async { Response::new(200, b"{}".to_vec()) };
+        scope.spawn(super::serve(listener, 8, answer));
+        // Each caller keeps its connection as long as it may.
+        let callers: Vec<Rc<Client>> = (0..40).map(|_| Rc::new(Client::new(1024, 4))).collect();
+        for _ in 0..3 {
+            for caller in &callers {
+                let patience = Duration::from_secs(2);
+                let answer = caller.call(addr, Method::Get, "/", b"", patience).await;
+                assert_eq!(answer.map(|r| r.status).ok(), Some(200));
+            }
+        }
+    })
+    .expect("loop");
+}
--- a/src/sim/growth.rs
+++ b/src/sim/growth.rs
@@ -148,3 +148,19 @@
     assert!(starts > 8_000, "{starts} starts");
     assert!(by["machines"] <= 4 * starts / 10, "{by:?}");
 }
+
+/// The size that operators run the service at, and some more: the leader comes to know every
+/// machine, and placing a task costs no more changes than on a smaller fleet.
+#[test]
+fn a_fleet_of_4500_is_known_whole_and_costs_few_changes_for_each_task() {
+    let mut world = World::grown(10, (4500, 4500), 90.0, 300);
+    world.run(15_000);
+    let leader = world.leader().expect("a leader");
+    let controller = world.nodes[leader].controller.as_ref().expect("it runs");
+    assert_eq!(controller.replica.machines.len(), 4500);
+    let (counts, starts) = cost(world, 45_000);
+    let by = &counts.by_owner;
+    assert!(starts > 20_000, "{starts} starts");
+    assert!(by["machines"] <= 2 * starts / 10, "{by:?}");
+    assert!(counts.refused <= counts.transactions / 8, "{counts:?}");
+}
