--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -13,6 +13,7 @@
 use crate::leadership::keep_grant;
 use crate::peers::{Links, Message, Routes, listen};
 use crate::runtime::{self, Scope, TcpListener, channel};
+use crate::store::records::ProgramVersion;
 use crate::store::replica::Replica;
 use crate::store::{Store, StoreError, keys};
 use crate::wire::state::Txn;
@@ -94,7 +95,8 @@
         links,
         routes: RefCell::default(),
     });
-    tracing::info!(member = %node.config.member, %incarnation, "controller started");
+    let version = ProgramVersion::CURRENT.0;
+    tracing::info!(member = %node.config.member, %incarnation, version, "controller started");
     scope.spawn(grants(node.clone()));
     scope.spawn(mirror(node.clone()));
     scope.spawn(ticker(node.clone()));
