Changes go first to ends of jobs; capacity covers the wait for records; moves need record room

Now ends and releases go before placements; counters are folded where records are half full; the time until a record is written again is part of what a task takes (cloud::turnaround); a move needs room on the target's record; records of returned machines wait while changes are scarce.

--- a/src/cloud/demand.rs
+++ b/src/cloud/demand.rs
@@ -4,6 +4,7 @@
 use crate::config::Config;
 use crate::ids::Wall;
 use crate::placement::service_order;
+use crate::planning::predicted_s;
 use crate::store::replica::{LiveJob, Replica};
 use crate::wire::Kind;
 
@@ -40,8 +41,6 @@
     pub work: f64,
 }
 
-/// The way there and back. The image's fetch counts half: later tasks find it there.
-const OVERHEAD: f64 = 3.0;
 /// The part of a task's time that is kept in hand.
 const MARGIN: f64 = 0.8;
 /// What can't be in time any more is still to be done, within about this time.
@@ -80,17 +79,15 @@
     most
 }
 
-/// How long a place is taken by one task of a job, on average.
-pub fn task_time(job: &LiveJob, replica: &Replica) -> f64 {
+/// How long a place is taken by one task of a job, on average, with the time until the next one.
+/// The image's fetch counts half: later tasks find it there.
+pub fn task_time(job: &LiveJob, replica: &Replica, turnaround_s: f64) -> f64 {
     let types = replica.catalog.iter().flat_map(|c| &c.value.types);
     let fetch = types
         .map(|t| t.fetch_gb_per_s)
         .fold(1.0, f64::min)
         .max(0.01);
-    let spec = &job.spec;
-    job.plan.as_ref().map_or(spec.estimate_s, |p| p.predicted_s)
-        + OVERHEAD
-        + 0.5 * spec.image_gb / fetch
+    predicted_s(job) + turnaround_s + 0.5 * job.spec.image_gb / fetch
 }
 
 /// In how many seconds an array is due: by its deadline or by those of the jobs that depend on it,
@@ -106,7 +103,12 @@
 }
 
 /// The load, and the batches that it is made of.
-pub fn load(wall: Wall, replica: &Replica, config: &Config) -> (Load, Vec<Batch>) {
+pub fn load(
+    wall: Wall,
+    replica: &Replica,
+    config: &Config,
+    turnaround_s: f64,
+) -> (Load, Vec<Batch>) {
     let mut load = Load::default();
     let mut batches = Vec::new();
     let mut busy = 0.0;
@@ -120,7 +122,7 @@
         let limit = config.teams.get(&spec.team).map_or(0, |t| t.limit().cpus);
         let left = spec.tasks.saturating_sub(job.done_count());
         let running = (job.placed.len() as u32).min(left);
-        let task = task_time(job, replica);
+        let task = task_time(job, replica, turnaround_s);
         let width = need.cpus.saturating_mul(left.into()).min(limit) as f64;
         let due = due_s(wall, job, task, config);
         let cpus = need.cpus as f64;
--- a/src/cloud/demand/tests.rs
+++ b/src/cloud/demand/tests.rs
@@ -59,7 +59,7 @@
         revision: crate::ids::Revision(5),
         grant: None,
     });
-    load(accepted, &replica, &config).0.arrays
+    load(accepted, &replica, &config, 3.0).0.arrays
 }
 
 /// Arrays without deadlines asked for nothing more than was there, while half of them missed what
--- a/src/cloud/fleet.rs
+++ b/src/cloud/fleet.rs
@@ -79,6 +79,8 @@
     steady: u64,
     spare: u64,
     pub wall: Wall,
+    /// How many changes the state service takes in a second from all controllers.
+    pub change_rate: f64,
     next_list: Time,
     listing: bool,
     next_catalog: Time,
@@ -108,6 +110,7 @@
             steady: 0,
             spare: 0,
             wall: Wall(0),
+            change_rate: config.state.rates.changes,
             next_list: Time::default(),
             listing: false,
             next_catalog: Time::default(),
--- a/src/cloud/fleet/returns.rs
+++ b/src/cloud/fleet/returns.rs
@@ -1,6 +1,7 @@
 //! Machines that are not needed any more: emptied, then returned.
 
 use super::*;
+use crate::cloud::turnaround::turnaround_s;
 
 /// At most one in so many machines is emptied at a time.
 const RETURN_PART: usize = 50;
@@ -64,8 +65,9 @@
     /// Takes the load as it is now, and forgets what is older than the time for which a machine
     /// may idle.
     fn measure_load(&mut self, now: Time, replica: &Replica) {
-        let (mut load, batches) = demand::load(self.wall, replica, &self.config);
-        self.flow.look(self.wall, replica);
+        let turnaround = turnaround_s(replica, self.change_rate);
+        let (mut load, batches) = demand::load(self.wall, replica, &self.config, turnaround);
+        self.flow.look(self.wall, replica, turnaround);
         load.arrays = load.arrays.max(self.flow.cpus(self.wall));
         self.recent.push_back((now, load));
         let window = idle_window(replica);
--- a/src/cloud/flow.rs
+++ b/src/cloud/flow.rs
@@ -22,7 +22,7 @@
 
 impl Flow {
     /// Notes what has come. Whoever has just begun to lead knows only what is unfinished.
-    pub fn look(&mut self, now: Wall, replica: &Replica) {
+    pub fn look(&mut self, now: Wall, replica: &Replica, turnaround_s: f64) {
         let since = *self.since.get_or_insert(now);
         let old = |at: Wall| now.0.saturating_sub(at.0) > WINDOW.0;
         self.came.retain(|_, (at, _)| !old(*at));
@@ -34,7 +34,7 @@
                 continue;
             }
             let cpus = spec.need().times(spec.tasks.into()).cpus as f64;
-            let work = cpus * task_time(job, replica);
+            let work = cpus * task_time(job, replica, turnaround_s);
             self.came.insert(id.clone(), (job.eligible, work));
         }
     }
@@ -84,7 +84,7 @@
                     grant: None,
                 });
             }
-            flow.look(now, &replica);
+            flow.look(now, &replica, 3.0);
             let gone = Event {
                 delete: Some(keys::job(&id.as_str().into())),
                 put: None,
--- a/src/cloud/mod.rs
+++ b/src/cloud/mod.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod flow;
 mod overdue;
+mod turnaround;
 
 pub use fleet::{Effect, Fleet, RentOutcome};
 pub use overdue::Overdue;
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -84,6 +84,10 @@
 const RELEASE_AGAIN: Span = Span(4000);
 /// Machine types that the state service refused for their size are offered again after this.
 const CATALOG_AGAIN: Span = Span(60_000);
+/// The removal of a machine's record is tried again after this.
+const DROP_AGAIN: Span = Span(1000);
+/// For so long at the most it waits for jobs that are counted there.
+const COUNTED_FOR: Span = Span(60_000);
 const UNHEARD: Span = Span(10_000);
 /// The turns of a large fleet lie further apart, by so many machines for a millisecond.
 const MACHINES_PER_MS: usize = 4;
@@ -113,6 +117,8 @@
     catalog_in_flight: bool,
     catalog_again: Time,
     dropping: BTreeMap<MachineId, Time>,
+    /// Since when machines are gone whose records still stand.
+    gone_since: BTreeMap<MachineId, Time>,
     /// Since when no holder has spoken of a machine without a record.
     unheard: BTreeMap<MachineId, Time>,
     dirty: bool,
@@ -151,6 +157,7 @@
             catalog_in_flight: false,
             catalog_again: zero,
             dropping: BTreeMap::new(),
+            gone_since: BTreeMap::new(),
             unheard: BTreeMap::new(),
             dirty: false,
             next_schedule: zero,
@@ -381,6 +388,7 @@
     pub fn set_change_rate(&mut self, changes: f64) {
         self.holder.set_change_rate(changes);
         self.scheduler.set_change_rate(changes);
+        self.fleet.change_rate = changes;
     }
 
     /// When the next tick is due; events may ask for an earlier one.
--- a/src/controller/dependents.rs
+++ b/src/controller/dependents.rs
@@ -92,7 +92,7 @@
             self.dependents.releasing.insert(id.clone(), now + AGAIN);
             effects.push(Effect::Txn {
                 owner: TxnOwner::Dependent(id),
-                class: Class::Place,
+                class: Class::Accept,
                 txn,
             });
         }
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -141,7 +141,7 @@
                 self.releasing.insert(id.clone(), now);
                 effects.push(Effect::Txn {
                     owner: TxnOwner::Release(id.clone()),
-                    class: Class::Place,
+                    class: Class::Accept,
                     txn,
                 });
             }
@@ -170,7 +170,8 @@
     pub(super) fn fold(&mut self, effects: &mut Vec<Effect>) {
         let most = self.config.state.value_bytes;
         let records = self.replica.machines.values().map(|m| &m.record);
-        let full = records.filter(|r| r.done_size() > most / 4 || r.size() > most);
+        // Where there is room beside them they cost nothing, and go when their jobs end.
+        let full = records.filter(|r| r.done_size() > most / 4 && r.size() > most / 2);
         let jobs: BTreeSet<&JobId> = full.flat_map(|r| r.done.iter().map(|d| &d.job)).collect();
         for id in jobs.into_iter().take(FOLDS) {
             let mut txn = Txn::default();
@@ -212,42 +213,64 @@
                 cloud::Effect::Delete(ids) => effects.push(Effect::Delete(ids)),
                 cloud::Effect::List => effects.push(Effect::List),
                 cloud::Effect::Catalog => effects.push(Effect::Catalog),
-                cloud::Effect::DropRecord(id) => {
-                    self.dropping.retain(|_, at| now.since(*at) < Span(1000));
-                    if let Some(machine) = self.replica.machines.get(&id)
-                        && !self.dropping.contains_key(&id)
-                    {
-                        // The holder may have placed something meanwhile: then this fails, and
-                        // is built anew on what stands.
-                        if machine.revision == Revision(0) {
-                            self.replica.forget(&id);
-                            continue;
-                        }
-                        self.dropping.insert(id.clone(), now);
-                        let mut txn = Txn::default();
-                        txn.require(keys::machine(&id), machine.revision);
-                        // What was counted there goes into the jobs' own counters first: a
-                        // leader that reads everything anew would run it again.
-                        let mut all = true;
-                        for done in &machine.record.done {
-                            let room = self.config.state.txn_ops - 1 - txn.changes.len();
-                            if let Some(job) = self.replica.jobs.get(&done.job) {
-                                let layout = Layout::new(&self.config);
-                                all &= counter::fold(&mut txn, &done.job, job, &layout, room);
-                            }
-                        }
-                        if all {
-                            txn.delete(keys::machine(&id));
-                        }
-                        effects.push(Effect::Txn {
-                            owner: TxnOwner::Nobody,
-                            class: Class::Place,
-                            txn,
-                        });
-                    }
-                }
+                cloud::Effect::DropRecord(id) => self.drop_record(now, &id, &mut effects),
             }
         }
         effects
     }
+
+    /// Removes the record of a machine that is gone.
+    fn drop_record(&mut self, now: Time, id: &MachineId, effects: &mut Vec<Effect>) {
+        self.dropping.retain(|_, at| now.since(*at) < DROP_AGAIN);
+        if self.dropping.contains_key(id) || self.waits_for_counted(now, id) {
+            return;
+        }
+        let Some(machine) = self.replica.machines.get(id) else {
+            return;
+        };
+        // The holder may have placed something meanwhile: then this fails, and is built anew on
+        // what stands.
+        if machine.revision == Revision(0) {
+            self.replica.forget(id);
+            return;
+        }
+        self.dropping.insert(id.clone(), now);
+        let mut txn = Txn::default();
+        txn.require(keys::machine(id), machine.revision);
+        // What was counted there goes into the jobs' own counters first: a leader that reads
+        // everything anew would run it again.
+        let layout = Layout::new(&self.config);
+        let mut all = true;
+        for done in &machine.record.done {
+            let room = layout.txn_ops - 1 - txn.changes.len();
+            if let Some(job) = self.replica.jobs.get(&done.job) {
+                all &= counter::fold(&mut txn, &done.job, job, &layout, room);
+            }
+        }
+        if all {
+            txn.delete(keys::machine(id));
+        }
+        effects.push(Effect::Txn {
+            owner: TxnOwner::Nobody,
+            class: Class::Place,
+            txn,
+        });
+    }
+
+    /// Whether the record of a machine that is gone waits for the jobs that it still counts tasks
+    /// of: once they are over it goes with a single change, and those are scarce.
+    fn waits_for_counted(&mut self, now: Time, id: &MachineId) -> bool {
+        let machines = &self.replica.machines;
+        self.gone_since.retain(|id, _| machines.contains_key(id));
+        let since = *self.gone_since.entry(id.clone()).or_insert(now);
+        let Some(record) = machines.get(id).map(|m| &m.record) else {
+            return false;
+        };
+        let mut counted = record.done.iter();
+        let counts = counted.any(|done| self.replica.jobs.contains_key(&done.job));
+        counts
+            && record.jobs.is_empty()
+            && now.since(since) < COUNTED_FOR
+            && self.scheduler.changes_are_scarce(now)
+    }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -19,7 +19,7 @@
 
 pub use order::service_order;
 pub use replicas::{replicas, spare_replicas};
-pub use scheduler::{Effect, Scheduler};
+pub use scheduler::{Effect, RECORDS_SHARE, Scheduler};
 pub use shortage::Shortage;
 
 #[cfg(test)]
--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -386,7 +386,7 @@
         let spec = &job.spec;
         let candidate = &self.candidates[at];
         let age_ms = self.input.wall.0.saturating_sub(job.eligible.0);
-        tracing::debug!(job = %id, machine = %candidate.id, tasks = tasks.len(), image = %spec.image, cached = candidate.has_image(spec), age_ms, "allotted");
+        tracing::debug!(job = %id, kind = ?spec.kind, machine = %candidate.id, tasks = tasks.len(), image = %spec.image, cached = candidate.has_image(spec), age_ms, "allotted");
         let attempts = &mut self.state.attempts;
         let runs = tasks.into_iter().map(|index| Run {
             task: TaskId {
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -3,6 +3,7 @@
 
 use super::accounts::Accounts;
 use super::candidates::Candidate;
+use super::record_room::RecordRoom;
 use super::scheduler::Health;
 use super::shortage::Shortage;
 use crate::config::Config;
@@ -47,6 +48,8 @@
     pub fn moves(&self) -> Vec<Stop> {
         let mut stops: Vec<Stop> = Vec::new();
         let mut free: Vec<Amounts> = self.candidates.iter().map(|c| c.free).collect();
+        let mut records: Vec<RecordRoom> =
+            self.candidates.iter().map(|c| c.record.clone()).collect();
         let noticed = self.health.iter().filter(|(_, h)| h.last.notice.is_some());
         for id in self.leaving.iter().chain(noticed.map(|(id, _)| id)) {
             let Some(machine) = self.replica.machines.get(id) else {
@@ -63,7 +66,10 @@
                     continue;
                 }
                 let target = self.candidates.iter().enumerate().position(|(at, c)| {
-                    c.is_allowed(spec) && c.has_image(spec) && placed.need.fits(free[at])
+                    c.is_allowed(spec)
+                        && c.has_image(spec)
+                        && placed.need.fits(free[at])
+                        && records[at].take(spec)
                 });
                 if let Some(at) = target {
                     free[at] = free[at] - placed.need;
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -34,7 +34,9 @@
 const PREEMPT: Span = Span(10_000);
 /// The part of the state service's changes that arrays are placed with: each machine that is
 /// given tasks has its record written for them, and others need changes as well.
-const RECORDS_SHARE: f64 = 0.65;
+pub const RECORDS_SHARE: f64 = 0.65;
+/// Below this part of a second's worth changes are scarce.
+const SCARCE: f64 = 0.5;
 
 /// What the holder of a machine last said of it.
 #[derive(Clone, Debug)]
@@ -87,6 +89,11 @@
         self.change_rate = changes;
     }
 
+    /// Whether the changes that arrays may be placed with are used up at present.
+    pub fn changes_are_scarce(&mut self, now: Time) -> bool {
+        self.records.part(now) < SCARCE
+    }
+
     /// Takes a holder's word on its machines. One that the state service refuses alone goes on
     /// speaking of machines that others hold since, and of their silence: that is no news (on
     /// Tramite grown a third of the fleet counted as lost for 30 s).
--- a/src/placement/shortage.rs
+++ b/src/placement/shortage.rs
@@ -1,6 +1,7 @@
 //! What found no room: the input for renting and for preemption.
 
 use crate::ids::{Amounts, JobId};
+use crate::planning::predicted_s;
 use crate::store::replica::LiveJob;
 use crate::wire::{Kind, Priority};
 
@@ -27,7 +28,7 @@
             job: id.clone(),
             need: spec.need(),
             tasks,
-            seconds: job.plan.as_ref().map_or(spec.estimate_s, |p| p.predicted_s),
+            seconds: predicted_s(job),
             priority: job.priority(),
             together: spec.kind != Kind::Array,
             cached_only: false,
--- a/src/placement/turns.rs
+++ b/src/placement/turns.rs
@@ -4,6 +4,7 @@
 use super::order::{oldest_first, rank};
 use super::pass::Inputs;
 use crate::ids::{Amounts, JobId, Span, Wall};
+use crate::planning::predicted_s;
 use crate::store::replica::LiveJob;
 use crate::wire::Kind;
 use std::collections::BTreeMap;
@@ -74,7 +75,7 @@
     slowest_gb_per_s: f64,
 ) -> bool {
     let spec = &job.spec;
-    let time = job.plan.as_ref().map_or(spec.estimate_s, |p| p.predicted_s);
+    let time = predicted_s(job);
     let fetch = spec.image_gb / slowest_gb_per_s;
     let left = spec.tasks.saturating_sub(job.done_count());
     let room = covered.get(spec.image.as_str()).copied().unwrap_or(0);
--- a/src/planning/mod.rs
+++ b/src/planning/mod.rs
@@ -11,3 +11,11 @@
 pub use graph::{Graph, Node, plan};
 pub use history::{History, predict};
 pub use pipeline::plan_job;
+
+use crate::store::replica::LiveJob;
+
+/// The predicted run time of one task of a job, in seconds.
+pub fn predicted_s(job: &LiveJob) -> f64 {
+    let plan = job.plan.as_ref();
+    plan.map_or(job.spec.estimate_s, |p| p.predicted_s)
+}
--- a/src/store/tokens.rs
+++ b/src/store/tokens.rs
@@ -9,9 +9,9 @@
 pub enum Class {
     /// Grants, fences and the mirror: never held back.
     Grant,
-    /// Acceptance and withdrawal.
+    /// Acceptance, withdrawal, and the ends and releases of jobs: few, and waited for.
     Accept,
-    /// Placements and ends of jobs.
+    /// Placements.
     Place,
     Poll,
     /// Plans, history and cleaning up.
