--- /dev/null
+++ b/src/ids/tests.rs
@@ -0,0 +1,58 @@
+use super::*;
+
+#[test]
+fn needs_round_up_and_room_rounds_down() {
+    let need = Amounts::need(0.1, 0.0, 1.00001);
+    assert_eq!((need.cpus, need.memory), (100, 1001));
+    assert_eq!(Amounts::room(4.0, 0.0, 15.9999).memory, 15_999);
+    assert_eq!(need.count_in(Amounts::room(1.0, 0.0, 64.0)), 10);
+}
+
+#[test]
+fn machines_are_dealt_out_evenly_in_the_order_of_their_names() {
+    let blocks: Vec<u32> = (230..236)
+        .map(|n| MachineId::from(format!("vm-{n:06}").as_str()).block(6).0)
+        .collect();
+    let mut sorted = blocks.clone();
+    sorted.sort_unstable();
+    assert_eq!(sorted, vec![0, 1, 2, 3, 4, 5]);
+}
+
+#[test]
+fn task_ids_read_back() {
+    let task = TaskId::parse("job-000412/3").expect("task");
+    assert_eq!((task.job.as_str(), task.index), ("job-000412", 3));
+    assert_eq!(task.to_string(), "job-000412/3");
+    assert!(TaskId::parse("job-000412").is_none() && TaskId::parse("a/-1").is_none());
+}
+
+/// Whatever the texts, names are in the order of the texts.
+#[test]
+fn names_are_ordered_as_their_texts() {
+    let texts = [
+        "",
+        "a",
+        "a\0",
+        "a\0\0",
+        "b",
+        "job-000001",
+        "job-000002",
+        "vm-1",
+        "vm-10",
+        "vm-2",
+        "0123456789abcdef",
+        "0123456789abcde",
+        "0123456789abcdefg",
+        "0123456789abcdef\0",
+        "é",
+    ];
+    for a in texts {
+        for b in texts {
+            assert_eq!(JobId::from(a).cmp(&JobId::from(b)), a.cmp(b), "{a:?} {b:?}");
+            assert_eq!(JobId::from(a) == JobId::from(b), a == b);
+        }
+        let json = serde_json::to_string(&JobId::from(a)).expect("json");
+        let back: JobId = serde_json::from_str(&json).expect("name");
+        assert_eq!(back.as_str(), a);
+    }
+}
--- /dev/null
+++ b/src/intake/verify/tests.rs
@@ -0,0 +1,48 @@
+use super::*;
+use crate::ids::Time;
+use crate::store::tokens::Bucket;
+
+/// Placements ask for four fifths of the requests there are, users about thousands of jobs: every question
+/// is answered within the tries of its comparison, so no job is without an answer for long.
+#[test]
+fn polls_are_answered_however_much_placements_ask() {
+    let (most, jobs) = (96, 3000);
+    let mut bucket = Bucket::new(25.0);
+    let mut last = vec![0u64; jobs];
+    let mut longest = 0;
+    // Comparisons under way: when they try next, how often they did, whom they answer.
+    let mut open: Vec<(u64, u32, Vec<usize>)> = Vec::new();
+    let mut asked: Vec<usize> = Vec::new();
+    for ms in (0..200_000u64).step_by(10) {
+        let now = Time(ms);
+        if ms % 50 == 0 {
+            bucket.try_take(now, 1.0, Class::Place);
+        }
+        asked.extend(
+            (0..jobs).filter(|job| (*job as u64 * 5000 / jobs as u64) / 10 == ms % 5000 / 10),
+        );
+        if ms % 150 == 0 && !asked.is_empty() {
+            for batch in asked.chunks(most) {
+                open.push((ms, 0, batch.to_vec()));
+            }
+            asked.clear();
+        }
+        open.retain_mut(|(at, tries, batch)| {
+            if *at > ms {
+                return true;
+            }
+            if bucket.try_take(now, 1.0, class(*tries)) {
+                for job in batch.iter() {
+                    longest = longest.max(ms - last[*job]);
+                    last[*job] = ms;
+                }
+                return false;
+            }
+            *tries += 1;
+            *at = ms + AGAIN.as_millis() as u64;
+            *tries < TRIES
+        });
+    }
+    let waits = last.iter().map(|at| 200_000 - at).max().unwrap_or(0);
+    assert!(longest.max(waits) < 75_000, "{longest} {waits}");
+}
--- a/src/placement/record_room.rs
+++ b/src/placement/record_room.rs
@@ -62,35 +62,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::ids::{Attempt, Run, TaskId};
-
-    /// As many tasks as are given room fit into the value with their ends, however it is filled.
-    #[test]
-    fn what_is_given_room_fits_into_the_value() {
-        for (value_bytes, jobs) in [(2048, 1), (2048, 40), (8192, 3), (1024, 40)] {
-            let mut record = MachineRecord::new("10.0.0.1:9000", &"t".into(), &"z".into(), true);
-            let mut room = RecordRoom::new(&record, value_bytes, 0, 0);
-            let mut placed = 0;
-            for n in 0..400u32 {
-                let mut spec = crate::wire::tests::spec("job-000001");
-                spec.id = format!("job-{:06}", n / (400 / jobs)).as_str().into();
-                if !room.take(&spec) {
-                    break;
-                }
-                let task = TaskId {
-                    job: spec.id.clone(),
-                    index: n,
-                };
-                let attempt = Attempt(9_999_999_999_999_999);
-                record.add(&Run { task, attempt }, &spec);
-                placed += 1;
-            }
-            let most = MachineRecord::room_for_placements(value_bytes);
-            let size = serde_json::to_vec(&record).expect("json").len();
-            assert!(placed >= 3 && size <= most, "{placed} tasks, {size} bytes");
-            assert!(2 * size > most, "{size} of {most} bytes used");
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/planning/counter/tests.rs
@@ -0,0 +1,158 @@
+use super::*;
+use crate::config::tests::sample_config;
+use crate::ids::MachineId;
+use crate::store::records::{JobRecord, MachineRecord};
+use crate::store::replica::Replica;
+use crate::wire::state::{Change, Event};
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+
+/// A store of keys and revisions, and nothing else.
+#[derive(Default)]
+struct Keys {
+    revision: u64,
+    held: BTreeMap<String, Revision>,
+    writes: usize,
+    largest: usize,
+}
+
+impl Keys {
+    fn run(&mut self, txn: &Txn, replica: &mut Replica) -> bool {
+        let found = |key: &String| self.held.get(key).copied().unwrap_or(Revision(0));
+        if txn.conditions.iter().any(|c| found(&c.key) != c.revision) {
+            return false;
+        }
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        let mut events = Vec::new();
+        for change in &txn.changes {
+            self.writes += 1;
+            let (put, delete, value) = match change {
+                Change::Put { key, value, .. } => {
+                    self.largest = self.largest.max(value.to_string().len());
+                    self.held.insert(key.clone(), revision);
+                    (Some(key.clone()), None, value.clone())
+                }
+                Change::Delete { key } => {
+                    self.held.remove(key);
+                    (None, Some(key.clone()), serde_json::Value::Null)
+                }
+            };
+            events.push(Event {
+                put,
+                delete,
+                value,
+                revision,
+            });
+        }
+        replica.apply(revision, events);
+        true
+    }
+}
+
+fn accept(keys_held: &mut Keys, replica: &mut Replica, tasks: u32) -> JobId {
+    let mut spec = crate::wire::tests::spec("job-000001");
+    spec.tasks = tasks;
+    let id = spec.id.clone();
+    let record = JobRecord::new(spec, crate::ids::Wall(0));
+    let mut txn = Txn::default();
+    txn.put(keys::job(&id), &record, None);
+    assert!(keys_held.run(&txn, replica));
+    id
+}
+
+/// A holder's change of a machine's record: some tasks of the job have ended there.
+fn end(
+    keys_held: &mut Keys,
+    replica: &mut Replica,
+    machine: &MachineId,
+    id: &JobId,
+    tasks: &[u32],
+) {
+    let size = sample_config().segment_tasks();
+    let old = replica.machines.get(machine).map(|m| m.record.clone());
+    let mut record =
+        old.unwrap_or_else(|| MachineRecord::new("1.1.1.1:1", &"t".into(), &"z".into(), false));
+    record
+        .done
+        .retain(|d| replica.jobs.get(&d.job).is_some_and(|j| j.needs(d, size)));
+    for task in tasks {
+        record.count(id, *task, *task);
+    }
+    let mut txn = Txn::default();
+    txn.put(keys::machine(machine), &record, None);
+    assert!(keys_held.run(&txn, replica));
+}
+
+/// Machines end the tasks of the largest array in any order and repeat some, the leader
+/// folds now and then, and machines go away. The plain model is a set.
+#[test]
+fn the_counter_of_the_largest_array_counts_each_task_once_and_releases_once() {
+    let config = sample_config();
+    let layout = Layout::new(&config);
+    let ops = layout.txn_ops;
+    let (mut keys_held, mut replica) = (Keys::default(), Replica::new(&config));
+    let id = accept(&mut keys_held, &mut replica, crate::wire::MAX_TASKS);
+    let mut rng = StdRng::seed_from_u64(2);
+    let mut order: Vec<u32> = (0..crate::wire::MAX_TASKS).collect();
+    order.shuffle(&mut rng);
+    let mut model = std::collections::BTreeSet::new();
+    let (mut at, mut folds) = (0, 0);
+    while at < order.len() {
+        let n = rng.random_range(1..=160).min(order.len() - at);
+        let mut batch = order[at..at + n].to_vec();
+        batch.push(order[rng.random_range(0..=at)]);
+        let machine = MachineId::from(format!("vm-{}", rng.random_range(0..40)).as_str());
+        end(&mut keys_held, &mut replica, &machine, &id, &batch);
+        model.extend(batch.iter().copied());
+        assert_eq!(replica.jobs[&id].done_count() as usize, model.len());
+        let long = replica.machines[&machine].record.done_size() > config.state.value_bytes / 4;
+        if long || rng.random_range(0..50) == 0 {
+            loop {
+                let mut txn = Txn::default();
+                let all = fold(&mut txn, &id, &replica.jobs[&id], &layout, ops - 1);
+                assert!(txn.changes.len() < ops && txn.conditions.len() <= 4 * ops);
+                folds += 1;
+                assert!(keys_held.run(&txn, &mut replica));
+                if all {
+                    break;
+                }
+            }
+            assert!(replica.jobs[&id].counted.is_empty());
+            // Folded, its record may go: nothing of the count goes with it.
+            let mut txn = Txn::default();
+            txn.delete(keys::machine(&machine));
+            assert!(keys_held.run(&txn, &mut replica));
+            assert_eq!(replica.jobs[&id].done_count() as usize, model.len());
+        }
+        at += n;
+        let release = release(&id, &replica.jobs[&id], &layout);
+        assert_eq!(release.is_some(), model.len() == order.len());
+        if let Some(txn) = release {
+            assert!(txn.changes.len() <= ops);
+            assert!(keys_held.run(&txn, &mut replica));
+            assert!(!keys_held.run(&txn, &mut replica), "released once");
+        }
+    }
+    assert!(!replica.jobs.contains_key(&id) && keys_held.largest <= config.state.value_bytes);
+    assert!(folds > 20 && keys_held.held.contains_key(&keys::over(&id)));
+}
+
+#[test]
+fn an_update_from_a_lagging_mirror_fails_instead_of_losing_tasks() {
+    let config = sample_config();
+    let layout = Layout::new(&config);
+    let (mut keys_held, mut replica) = (Keys::default(), Replica::new(&config));
+    let id = accept(&mut keys_held, &mut replica, 4);
+    let machine = MachineId::from("vm-1");
+    end(&mut keys_held, &mut replica, &machine, &id, &[0]);
+    let mut late = Txn::default();
+    assert!(fold(&mut late, &id, &replica.jobs[&id], &layout, 11));
+    end(&mut keys_held, &mut replica, &machine, &id, &[1]);
+    let mut first = Txn::default();
+    assert!(fold(&mut first, &id, &replica.jobs[&id], &layout, 11));
+    assert!(keys_held.run(&first, &mut replica));
+    assert!(!keys_held.run(&late, &mut replica));
+    assert_eq!(replica.jobs[&id].done_count(), 2);
+}
--- /dev/null
+++ b/src/planning/history/tests.rs
@@ -0,0 +1,65 @@
+use super::*;
+use crate::config::tests::sample_config;
+
+#[test]
+fn predictions_use_the_types_own_samples_then_all_then_the_estimate() {
+    let settings = Settings::default();
+    let (a, b) = (TypeName::from("a"), TypeName::from("b"));
+    let mut history = History::default();
+    for s in [10, 30, 20] {
+        history.add(&"p".into(), &a, 10.0, Span(s * 1000));
+    }
+    history.add(&"p".into(), &b, 10.0, Span(50_000));
+    assert_eq!(
+        predict(None, &a, &settings, 7.0),
+        Predicted {
+            seconds: 7.0,
+            sampled: false
+        }
+    );
+    let (_, record) = history
+        .next(&Replica::new(&sample_config()), 8192)
+        .expect("record");
+    let on_a = predict(Some(&record), &a, &settings, 7.0);
+    assert_eq!(
+        on_a,
+        Predicted {
+            seconds: 14.0,
+            sampled: true
+        }
+    );
+    assert!(!predict(Some(&record), &b, &settings, 7.0).sampled);
+    assert!(
+        history
+            .next(&Replica::new(&sample_config()), 8192)
+            .is_none()
+    );
+}
+
+/// Samples of many types, written under a larger limit, are cut to a smaller one.
+#[test]
+fn a_record_that_was_larger_shrinks_to_the_value_limit() {
+    let mut record = HistoryRecord::default();
+    for n in 0..40 {
+        let samples = (0..SAMPLES).map(|s| 1.0 / (n + s + 3) as f32);
+        let name = format!("type-{n:02}");
+        record.types.insert(name.as_str().into(), samples.collect());
+    }
+    for value_bytes in [8192, 2048, 1024, 200] {
+        shrink(&mut record, value_bytes);
+        let size = serde_json::to_vec(&record).expect("json").len();
+        assert!(size <= value_bytes && size > value_bytes / 2, "{size}");
+    }
+}
+
+#[test]
+fn samples_are_bounded() {
+    let mut history = History::default();
+    for _ in 0..10_000 {
+        history.add(&"p".into(), &"a".into(), 0.0, Span(1000));
+    }
+    let (_, record) = history
+        .next(&Replica::new(&sample_config()), 8192)
+        .expect("record");
+    assert_eq!(record.types[&TypeName::from("a")].len(), SAMPLES);
+}
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -83,22 +83,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn keys_read_back() {
-        let id = JobId::from("job-7");
-        assert_eq!(LiveKey::parse(&job(&id)), Some(LiveKey::Job(id.clone())));
-        assert_eq!(
-            LiveKey::parse(&segment(&id, 3)),
-            Some(LiveKey::Segment(id.clone(), 3))
-        );
-        assert_eq!(
-            LiveKey::parse(&block(BlockId(4))),
-            Some(LiveKey::Block(BlockId(4)))
-        );
-        assert_eq!(LiveKey::parse(LEADER), Some(LiveKey::Leader));
-        assert_eq!(LiveKey::parse(&over(&id)), None);
-    }
-}
+mod tests;
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -2,6 +2,7 @@
 //! what it holds.
 
 pub mod keys;
+mod live_job;
 pub mod machine_record;
 mod rates;
 pub mod records;
@@ -306,36 +307,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::http::{Response, serve};
-    use crate::runtime::{self, TcpListener};
-
-    /// More changes at once than memory allows: the mirror is read anew, page by page. Asked for
-    /// again it would come again, and the mirror would stand still.
-    #[test]
-    fn a_watch_answer_over_its_bound_counts_as_too_old() {
-        runtime::run(async {
-            let listener = TcpListener::bind("127.0.0.1:0".parse().expect("addr")).expect("bind");
-            let addr = listener.local_addr().expect("addr");
-            let mut scope = runtime::Scope::default();
-            scope.spawn(serve(listener, 10, |request| async move {
-                let events = match request.path.contains("after=1&") {
-                    true => vec!["x"; 1000],
-                    false => Vec::new(),
-                };
-                Response::json(
-                    200,
-                    &serde_json::json!({"edition": 9, "filler": events, "events": []}),
-                )
-            }));
-            let config = crate::config::tests::sample_config();
-            let store = Store::new(addr, &config.state, 1.0, 2000, Instant::now());
-            let follow = |after| store.follow(keys::LIVE, Revision(after), Duration::ZERO);
-            assert_eq!(follow(1).await.err(), Some(StoreError::Gone));
-            assert_eq!(follow(2).await.map(|e| e.revision).ok(), Some(Revision(9)));
-            drop(scope);
-        })
-        .expect("loop");
-    }
-}
+mod tests;
--- a/src/store/replica/tests.rs
+++ b/src/store/replica/tests.rs
@@ -1,7 +1,7 @@
 use super::super::keys;
 use super::*;
 use crate::config::tests::sample_config;
-use crate::ids::{Run, TaskId};
+use crate::ids::{Attempt, Run, TaskId};
 use serde_json::json;
 
 fn put(key: String, value: Value, revision: u64) -> Event {
--- /dev/null
+++ b/src/wire/cloud.rs
@@ -0,0 +1,95 @@
+//! The cloud's messages.
+
+use super::path;
+use crate::ids::{Amounts, MachineId, TypeName, Zone};
+use serde::{Deserialize, Serialize};
+
+/// A machine type of the cloud's catalog; also kept in the state service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineType {
+    pub name: TypeName,
+    #[serde(rename = "cores")]
+    pub cpus: f64,
+    #[serde(rename = "cards")]
+    pub gpus: f64,
+    pub memory_gb: f64,
+    pub cache_gb: f64,
+    pub fetch_gb_per_s: f64,
+    pub price: f64,
+    #[serde(rename = "low_price")]
+    pub spot_price: f64,
+    #[serde(rename = "startup_s")]
+    pub boot_s: f64,
+    #[serde(rename = "berths")]
+    pub zones: Vec<Zone>,
+}
+
+impl MachineType {
+    pub fn room(&self) -> Amounts {
+        Amounts::room(self.cpus, self.gpus, self.memory_gb)
+    }
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Catalog {
+    #[serde(rename = "hulls")]
+    pub types: Vec<MachineType>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct RentRequest {
+    #[serde(rename = "charter")]
+    pub request: String,
+    #[serde(rename = "hull")]
+    pub type_name: TypeName,
+    #[serde(rename = "berth")]
+    pub zone: Zone,
+    #[serde(rename = "ebb")]
+    pub spot: bool,
+    #[serde(rename = "number")]
+    pub count: u32,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+pub struct MachineNames {
+    #[serde(rename = "moorings")]
+    pub machines: Vec<MachineId>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub enum MachineState {
+    #[serde(rename = "starting")]
+    Booting,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "failed")]
+    Failed,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ListedMachine {
+    pub id: MachineId,
+    #[serde(rename = "hull")]
+    pub type_name: TypeName,
+    #[serde(rename = "berth")]
+    pub zone: Zone,
+    #[serde(rename = "ebb")]
+    pub spot: bool,
+    #[serde(rename = "standing")]
+    pub state: MachineState,
+    #[serde(rename = "held_s")]
+    pub age_s: f64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct MachineList {
+    #[serde(rename = "moorings")]
+    pub machines: Vec<ListedMachine>,
+    #[serde(rename = "has_next")]
+    pub more: bool,
+}
+
+pub fn machines_path(after: Option<&MachineId>) -> String {
+    let after = after.map_or_else(String::new, |a| format!("after={a}&"));
+    format!("{}?{after}most=500", path::MACHINES)
+}
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::ids::TaskId;
+use crate::ids::{Attempt, Run, Session, Span, TaskId, Token};
 use proptest::prelude::*;
 use serde_json::json;
 
