--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -122,6 +122,8 @@
     /// The tasks that each job was given on machines that have its image.
     given: BTreeMap<&'a JobId, usize>,
     pub shortages: Vec<Shortage>,
+    /// Arrays found room on machines whose records no change could be spent on.
+    pub changes_spent: bool,
     /// Replicas for which lower work is to make room where their image is.
     pub quick: Vec<Shortage>,
     pub allotments: Vec<Outgoing>,
@@ -144,6 +146,7 @@
             unwritten: 0,
             given: BTreeMap::new(),
             shortages: Vec::new(),
+            changes_spent: false,
             quick: Vec::new(),
             allotments: Vec::new(),
         };
@@ -414,6 +417,7 @@
     fn settle(&mut self, turn: Turn<'a>, request: &Request, found: Found) {
         let Turn { id, job, .. } = turn;
         if found.changes_spent {
+            self.changes_spent = true;
             self.keep_written();
         }
         if turn.cached_only {
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -186,7 +186,10 @@
         let mut pass = Pass::new(inputs, state, accounts, candidates);
         pass.run();
         let mut wanted = std::mem::take(&mut pass.quick);
-        wanted.extend(pass.shortages.iter().cloned());
+        // What waits for changes does not start sooner where something is stopped, and what is
+        // stopped has to be placed again, with changes that are lacking.
+        let shortages = pass.shortages.iter().cloned();
+        wanted.extend(shortages.filter(|s| s.together || !pass.changes_spent));
         let preemption = Preemption {
             wall: self.wall,
             config: &config,
--- a/src/placement/tests/preemption.rs
+++ b/src/placement/tests/preemption.rs
@@ -134,3 +134,42 @@
         "the faster fetch does not draw it there"
     );
 }
+
+/// With few changes left a fifth of all tasks was stopped for others that could not be started any
+/// sooner, and had to be placed again with changes that were lacking (Tramite next, rollout).
+#[test]
+fn arrays_stop_nothing_while_there_is_room_that_no_change_can_be_spent_on() {
+    let stops_at = |changes: f64| {
+        let mut scene = full_of_idle_work(20);
+        scene.scheduler.set_change_rate(changes);
+        for n in 100..103 {
+            scene.machine(n, "a", false, &[]);
+        }
+        array(&mut scene, 2, 50);
+        let (allotments, stops) = scene.drive();
+        let given: usize = allotments.iter().map(|a| a.runs.len()).sum();
+        (given, stops.len())
+    };
+    assert_eq!(stops_at(40.0), (12, 38));
+    assert_eq!(stops_at(1.0), (4, 0));
+    // What must run at once gets its room all the same.
+    let mut scene = full_of_idle_work(20);
+    scene.scheduler.set_change_rate(1.0);
+    for n in 100..103 {
+        scene.machine(n, "a", false, &[]);
+    }
+    array(&mut scene, 2, 50);
+    scene.job(3, |s| {
+        s.kind = Kind::Service;
+        s.priority = Priority::Low;
+        s.tasks = 1;
+        s.cpus = 8.0;
+    });
+    scene.job(4, |s| {
+        s.kind = Kind::Service;
+        s.priority = Priority::Production;
+        s.tasks = 4;
+        s.cpus = 8.0;
+    });
+    assert!(!scene.drive().1.is_empty());
+}
