--- a/src/sim/ends.rs
+++ b/src/sim/ends.rs
@@ -1,6 +1,8 @@
 //! The last task's end, a cancellation, repeated submissions and late copies of each, in every order:
 //! whatever comes first decides, for good, and each answer is one that the records allow.
 
+mod dependent;
+
 use super::outside::StoreModel;
 use crate::config::tests::sample_config;
 use crate::ids::{JobId, MachineId, Revision, Wall};
--- /dev/null
+++ b/src/sim/ends/dependent.rs
@@ -0,0 +1,163 @@
+//! A parent's end and its cancellation, and the submission of a child that names it, in every order:
+//! the submission looks first and writes later, so what it saw may be old by then.
+
+use super::*;
+use crate::intake::dependencies::{Cascade, CascadeStep, Dependencies, Named};
+use crate::wire::Kind;
+
+const PARENT: &str = "job-000001";
+const CHILD: &str = "job-000002";
+const OPS: usize = 4;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Event {
+    Look,
+    Write,
+    ParentEnds,
+    ParentCancelled,
+}
+
+struct Scene {
+    store: StoreModel,
+    parent: Revision,
+    ends: Txn,
+    /// What the submission has seen last.
+    seen: Option<Dependencies>,
+    /// The parent's user was told that it is cancelled.
+    told: bool,
+}
+
+impl Scene {
+    fn new() -> Self {
+        let mut store = StoreModel::default();
+        let parent = JobId::from(PARENT);
+        let TxnOutcome::Committed(revision) = store.txn(&submission(&parent)) else {
+            panic!("not accepted");
+        };
+        let ends = end(&mut store, &parent);
+        Self {
+            store,
+            parent: revision,
+            ends,
+            seen: None,
+            told: false,
+        }
+    }
+
+    fn look(&mut self) {
+        let parent = JobId::from(PARENT);
+        let named = match standing(&self.store, &parent) {
+            Some(JobState::Done) => Named::Done,
+            Some(_) => Named::Cancelled,
+            None => Named::Live {
+                kind: Kind::Array,
+                revision: self.parent,
+            },
+        };
+        self.seen = Some(Dependencies::of(&CHILD.into(), vec![(parent, named)]));
+    }
+
+    /// Writes what was decided; where that is out of date it is decided anew.
+    fn write(&mut self) {
+        let mut spec = crate::wire::tests::spec(CHILD);
+        spec.dependencies = vec![PARENT.into()];
+        for _ in 0..2 {
+            if self.seen.is_none() {
+                self.look();
+            }
+            let seen = self.seen.take().expect("seen");
+            let (txn, _) = seen.accept(&spec, Wall(9), OPS).expect("decided");
+            if matches!(self.store.txn(&txn), TxnOutcome::Committed(_)) {
+                return;
+            }
+        }
+        panic!("not accepted");
+    }
+
+    /// Cancels as the intake does: the job, then all that need it, and then its user is told.
+    fn cancel(&mut self) {
+        let parent = JobId::from(PARENT);
+        let outcome = self.store.txn(&cancellation(&parent, self.parent));
+        let TxnOutcome::Committed(revision) = outcome else {
+            return;
+        };
+        let mut cascade = Cascade::new(&parent, revision);
+        loop {
+            let replica = self.store.snapshot(&sample_config(), false);
+            match cascade.next(&replica, OPS) {
+                CascadeStep::Complete => break,
+                CascadeStep::Wait => panic!("the mirror is up to date"),
+                CascadeStep::Write(txn, _) => {
+                    if let TxnOutcome::Committed(at) = self.store.txn(&txn) {
+                        cascade.committed(at);
+                    }
+                }
+            }
+        }
+        self.told = true;
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Look => self.look(),
+            Event::Write => self.write(),
+            Event::ParentEnds => drop(self.store.txn(&self.ends)),
+            Event::ParentCancelled => self.cancel(),
+        }
+    }
+
+    /// The child's record, if it is accepted and not over.
+    fn child(&self) -> Option<JobRecord> {
+        let (value, ..) = self.store.keys.get(&keys::job(&CHILD.into()))?;
+        Some(serde_json::from_value(value.clone()).expect("record"))
+    }
+}
+
+fn orders_of(rest: &[Event]) -> Vec<Vec<Event>> {
+    if rest.is_empty() {
+        return vec![Vec::new()];
+    }
+    let mut all = Vec::new();
+    for (at, first) in rest.iter().enumerate() {
+        let mut left = rest.to_vec();
+        left.remove(at);
+        for mut order in orders_of(&left) {
+            order.insert(0, *first);
+            all.push(order);
+        }
+    }
+    all
+}
+
+#[test]
+fn a_child_follows_its_parent_in_whatever_order_they_end_and_come() {
+    let events = [
+        Event::Look,
+        Event::Write,
+        Event::ParentEnds,
+        Event::ParentCancelled,
+    ];
+    let (mut waited, mut cancelled) = (0, 0);
+    for order in orders_of(&events) {
+        let mut scene = Scene::new();
+        for event in &order {
+            scene.happen(*event);
+            let done = standing(&scene.store, &PARENT.into()) == Some(JobState::Done);
+            if let Some(child) = scene.child() {
+                assert!(child.is_waiting() || done, "{order:?}: too early");
+                assert!(!scene.told, "{order:?}: left behind when the user was told");
+                waited += u64::from(child.is_waiting());
+            }
+        }
+        let child = standing(&scene.store, &CHILD.into());
+        match standing(&scene.store, &PARENT.into()) {
+            Some(JobState::Done) => assert!(child.is_none() && scene.child().is_some()),
+            Some(JobState::Cancelled) => {
+                assert_eq!(child, Some(JobState::Cancelled), "{order:?}");
+                cancelled += 1;
+            }
+            state => panic!("{order:?}: {state:?}"),
+        }
+    }
+    assert!(waited >= 4 && cancelled >= 8, "{waited} {cancelled}");
+}
