Log who leads, who owns shards, and why requests and questions go unanswered

Cause: what was kept of the incident could not tell whether a question about an ended job was held back by our own rate limiter, refused by the store or stopped by its own record. A 503 said "can't be reached" for all three, elections and shard owners were not logged, and repeated refusals of rentals filled the log.

Change: StoreError and TxnOutcome::Refused say who refused. RetryReason names each reason of a 503 once and is counted in the status (`unanswered`). Episodes announces the first and the last of repeated events: refused requests by class with the levels of the buckets, jobs whose users stay unanswered, refused rentals. The daemon logs elections with the term, changes of a shard's owner with its fence, and how far the loaded watch cache is behind. At debug: commands with token and record, validated live jobs, final states that were read. Answers differ in the text of a 503 alone.

--- a/src/api/cancel.rs
+++ b/src/api/cancel.rs
@@ -1,7 +1,8 @@
 //! Cancellations of jobs.
 
-use super::job_api::JobApi;
-use super::responses::{STORE_UNREACHABLE, no_such_job, retry_later};
+use super::job_api::{Answer, JobApi};
+use super::responses::no_such_job;
+use super::retry_reason::RetryReason;
 use crate::http::Response;
 use crate::ids::JobId;
 use crate::protocol::store::{Item, Txn};
@@ -19,24 +20,27 @@
             return no_such_job();
         }
         let id = JobId::from(id);
-        if let Some(final_state) = self.cached_final_state(&id) {
-            return self.settled_status(&id, final_state, None).await;
+        let answer = self.cancel_known(&id).await;
+        self.respond(&id, answer)
+    }
+
+    async fn cancel_known(&self, id: &JobId) -> Answer {
+        if let Some(final_state) = self.cached_final_state(id) {
+            return self.settled_status(id, final_state, None).await;
         }
         if !self.store.is_up() {
-            return retry_later(STORE_UNREACHABLE);
+            return Err(RetryReason::StoreDown);
+        }
+        if let Some(item) = self.store.get(RequestClass::Accept, &keys::job(id)).await? {
+            return self.cancel_live(id, item).await;
         }
-        match self.store.get(RequestClass::Accept, &keys::job(&id)).await {
-            Ok(Some(item)) => self.cancel_live(&id, item).await,
-            Ok(None) => match self.read_final_state(&id).await {
-                Ok(Some(final_state)) => self.settled_status(&id, final_state, None).await,
-                Ok(None) => no_such_job(),
-                Err(_) => retry_later(STORE_UNREACHABLE),
-            },
-            Err(_) => retry_later(STORE_UNREACHABLE),
+        match self.read_final_state(id).await? {
+            Some(final_state) => self.settled_status(id, final_state, None).await,
+            None => Ok(no_such_job()),
         }
     }
 
-    async fn cancel_live(&self, id: &JobId, item: Item) -> Response {
+    async fn cancel_live(&self, id: &JobId, item: Item) -> Answer {
         let revision = item.revision;
         let tasks = serde_json::from_value::<JobRecord>(item.value).map_or(0, |r| r.spec.tasks);
         let record = FinalRecord {
@@ -54,7 +58,7 @@
                 self.settled_status(id, final_state, Some(since)).await
             }
             // Done or cancelled in between, or it was never there: a retry shows which.
-            _ => retry_later("the state service did not take it"),
+            _ => Err(RetryReason::NotTaken),
         }
     }
 }
--- a/src/api/dependencies.rs
+++ b/src/api/dependencies.rs
@@ -6,10 +6,10 @@
 pub(crate) use cascade::{CancellationCascade, CascadeStep};
 pub(crate) use decision::{Dependencies, DependencyState, named_in_cache, new_job};
 
-use super::job_api::JobApi;
+use super::job_api::{Answer, JobApi};
 use super::job_lookup::JobLookup;
-use super::responses::{STORE_OVERLOADED, STORE_SILENT, job_status, retry_later};
-use crate::http::Response;
+use super::responses::job_status;
+use super::retry_reason::RetryReason;
 use crate::ids::{JobId, Revision, UnixTime};
 use crate::protocol::{JobSpec, JobState};
 use crate::runtime;
@@ -28,11 +28,11 @@
 
 impl JobApi {
     /// Accepts or refuses a job that depends on others.
-    pub(super) async fn submit_dependent(&self, spec: JobSpec) -> Response {
+    pub(super) async fn submit_dependent(&self, spec: JobSpec) -> Answer {
         let id = spec.id.clone();
         // An earlier version would start the job at once.
         if !self.controller.borrow().cache.all_know_dependencies() {
-            return retry_later("a controller of an earlier version takes part");
+            return Err(RetryReason::EarlierVersion);
         }
         let mut changed = BTreeSet::new();
         for _ in 0..MAX_ATTEMPTS {
@@ -42,15 +42,10 @@
             }
             let ops = self.config.state.txn_ops;
             let Some((txn, state)) = dependencies.accept(&spec, UnixTime::now(), ops) else {
-                return retry_later("the jobs that it names can't be read");
+                return Err(RetryReason::DependenciesUnread);
             };
             match self.store.txn(RequestClass::Accept, &txn).await {
-                TxnOutcome::Committed(_) => return job_status(201, &id, state, None),
-                TxnOutcome::Refused | TxnOutcome::Invalid => {
-                    return retry_later(STORE_OVERLOADED);
-                }
-                // It may be accepted already; a retry shows it.
-                TxnOutcome::Unknown => return retry_later(STORE_SILENT),
+                TxnOutcome::Committed(_) => return Ok(job_status(201, &id, state, None)),
                 TxnOutcome::Failed(failed, _) => {
                     let own = [keys::job(&id), keys::final_state(&id)];
                     if failed.iter().any(|key| own.contains(key)) {
@@ -60,9 +55,11 @@
                     let stale = dependencies.filter(|d| failed.contains(&keys::job(d)));
                     changed.extend(stale.cloned());
                 }
+                // If it is not known, it may be accepted already; a retry shows it.
+                outcome => return Err(RetryReason::of_txn(&outcome)),
             }
         }
-        retry_later("the jobs that it names are changing")
+        Err(RetryReason::DependenciesChanging)
     }
 
     /// Looks all dependencies up. What the watch cache shows of those that have `changed` is known
@@ -94,7 +91,7 @@
             }
             JobLookup::Ended(_) => DependencyState::Done,
             JobLookup::NeverAccepted => DependencyState::Never,
-            JobLookup::Unavailable => DependencyState::Unknown,
+            JobLookup::Unavailable(_) => DependencyState::Unknown,
         }
     }
 
@@ -122,7 +119,7 @@
                 }
                 // Released, cancelled by others, or the watch cache lags.
                 TxnOutcome::Failed(..) => runtime::sleep(POLL_INTERVAL).await,
-                TxnOutcome::Refused | TxnOutcome::Invalid | TxnOutcome::Unknown => return false,
+                TxnOutcome::Refused(_) | TxnOutcome::Invalid | TxnOutcome::Unknown => return false,
             }
         }
         false
--- a/src/api/job_api.rs
+++ b/src/api/job_api.rs
@@ -2,9 +2,12 @@
 //! `cancel` and `dependencies`.
 
 use super::final_state::FinalStateCache;
+use super::retry_reason::RetryReason;
 use super::revision_check::RevisionChecker;
+use super::unanswered::{UnansweredQuestions, UnansweredReport};
 use crate::config::Config;
 use crate::controller::Controller;
+use crate::http::Response;
 use crate::ids::{JobId, Revision};
 use crate::protocol::store::Txn;
 use crate::runtime::Sender;
@@ -25,6 +28,9 @@
     pub(crate) settled: Sender<bool>,
 }
 
+/// The answer to a user, or why there is none now.
+pub(super) type Answer = Result<Response, RetryReason>;
+
 /// Serves submissions, polls and cancellations.
 pub(crate) struct JobApi {
     /// This controller's configuration.
@@ -39,6 +45,8 @@
     pub(super) final_states: RefCell<FinalStateCache>,
     /// Takes cancellations that other controllers have to confirm.
     pub(super) cancellations: Sender<Cancellation>,
+    /// Questions that were not answered.
+    unanswered: RefCell<UnansweredQuestions>,
 }
 
 impl JobApi {
@@ -58,6 +66,32 @@
             revision_checker,
             final_states: RefCell::default(),
             cancellations,
+            unanswered: RefCell::default(),
+        }
+    }
+
+    /// What is counted of questions without an answer.
+    pub(crate) fn unanswered_report(&self) -> UnansweredReport {
+        self.unanswered.borrow().report(self.store.now())
+    }
+
+    /// Logs the end of episodes without answers.
+    pub(crate) fn log_ended_episodes(&self) {
+        self.unanswered.borrow_mut().log_ended(self.store.now());
+    }
+
+    /// The response to a question about a job, which is counted if it has no answer.
+    pub(super) fn respond(&self, id: &JobId, answer: Answer) -> Response {
+        let mut unanswered = self.unanswered.borrow_mut();
+        match answer {
+            Ok(response) => {
+                unanswered.end(id);
+                response
+            }
+            Err(reason) => {
+                unanswered.record(self.store.now(), id, reason);
+                reason.response()
+            }
         }
     }
 }
--- a/src/api/job_lookup.rs
+++ b/src/api/job_lookup.rs
@@ -2,6 +2,7 @@
 
 use super::final_state::FinalState;
 use super::job_api::JobApi;
+use super::retry_reason::RetryReason;
 use crate::ids::{JobId, Revision};
 use crate::protocol::JobState;
 use crate::protocol::store::Item;
@@ -18,7 +19,7 @@
     /// Nothing: it was never accepted.
     NeverAccepted,
     /// The store could not be read.
-    Unavailable,
+    Unavailable(RetryReason),
 }
 
 impl JobApi {
@@ -31,12 +32,12 @@
         match self.store.get(RequestClass::Poll, &keys::job(id)).await {
             Ok(Some(item)) => return JobLookup::Live(item),
             Ok(None) => {}
-            Err(_) => return JobLookup::Unavailable,
+            Err(error) => return JobLookup::Unavailable(error.into()),
         }
         match self.read_final_state(id).await {
             Ok(Some(final_state)) => JobLookup::Ended(final_state),
             Ok(None) => JobLookup::NeverAccepted,
-            Err(_) => JobLookup::Unavailable,
+            Err(error) => JobLookup::Unavailable(error.into()),
         }
     }
 
@@ -55,7 +56,8 @@
             return Ok(None);
         };
         let record: FinalRecord =
-            serde_json::from_value(item.value).map_err(|_| StoreError::Unavailable)?;
+            serde_json::from_value(item.value).map_err(|_| StoreError::Unreadable)?;
+        tracing::debug!(job = %id, state = ?record.state, revision = %item.revision, "final state read");
         Ok(Some(self.remember_final_state(id, record, item.revision)))
     }
 
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -9,9 +9,12 @@
 mod job_lookup;
 mod query;
 mod responses;
+mod retry_reason;
 mod revision_check;
 mod submit;
 #[cfg(test)]
 mod tests;
+mod unanswered;
 
 pub(crate) use job_api::{Cancellation, JobApi};
+pub(crate) use unanswered::UnansweredReport;
--- a/src/api/query.rs
+++ b/src/api/query.rs
@@ -1,11 +1,10 @@
 //! Polls of jobs.
 
 use super::final_state::FinalState;
-use super::job_api::{Cancellation, JobApi};
+use super::job_api::{Answer, Cancellation, JobApi};
 use super::job_lookup::JobLookup;
-use super::responses::{
-    STORE_UNREACHABLE, TaskCounts, final_status, job_status, no_such_job, retry_later,
-};
+use super::responses::{TaskCounts, final_status, job_status, no_such_job};
+use super::retry_reason::RetryReason;
 use super::revision_check::RevisionStatus;
 use crate::http::Response;
 use crate::ids::JobId;
@@ -19,16 +18,18 @@
         if !valid_job_id(id) {
             return no_such_job();
         }
-        self.poll_known(&id.into()).await
+        let id = JobId::from(id);
+        let answer = self.poll_known(&id).await;
+        self.respond(&id, answer)
     }
 
     /// Answers a job's state, as validated against the key-value store.
-    pub(super) async fn poll_known(&self, id: &JobId) -> Response {
+    pub(super) async fn poll_known(&self, id: &JobId) -> Answer {
         if let Some(final_state) = self.cached_final_state(id) {
             return self.settled_status(id, final_state, None).await;
         }
         if !self.store.is_up() {
-            return retry_later(STORE_UNREACHABLE);
+            return Err(RetryReason::StoreDown);
         }
         let revision = {
             let controller = self.controller.borrow();
@@ -36,16 +37,19 @@
         };
         if let Some(revision) = revision {
             match self.revision_checker.check_revision(id, revision).await {
-                RevisionStatus::Unchanged => return self.live_status(id),
+                RevisionStatus::Unchanged => {
+                    tracing::debug!(job = %id, %revision, "live job validated");
+                    return Ok(self.live_status(id));
+                }
                 RevisionStatus::Changed => {}
-                RevisionStatus::Unknown => return retry_later(STORE_UNREACHABLE),
+                RevisionStatus::Unknown(reason) => return Err(reason),
             }
         }
         match self.find(id).await {
-            JobLookup::Live(_) => self.live_status(id),
+            JobLookup::Live(_) => Ok(self.live_status(id)),
             JobLookup::Ended(final_state) => self.settled_status(id, final_state, None).await,
-            JobLookup::NeverAccepted => no_such_job(),
-            JobLookup::Unavailable => retry_later(STORE_UNREACHABLE),
+            JobLookup::NeverAccepted => Ok(no_such_job()),
+            JobLookup::Unavailable(reason) => Err(reason),
         }
     }
 
@@ -75,7 +79,7 @@
         id: &JobId,
         final_state: FinalState,
         since: Option<Instant>,
-    ) -> Response {
+    ) -> Answer {
         if !final_state.settled {
             let (settled, result) = oneshot();
             self.cancellations.send(Cancellation {
@@ -85,10 +89,10 @@
                 settled,
             });
             if result.get().await != Some(true) {
-                return retry_later("its tasks are being stopped");
+                return Err(RetryReason::TasksStopping);
             }
             if !self.cancel_dependents(id, final_state.revision).await {
-                return retry_later("the jobs that need it are being cancelled");
+                return Err(RetryReason::DependentsStopping);
             }
             let settled_state = FinalState {
                 settled: true,
@@ -96,7 +100,7 @@
             };
             self.final_states.borrow_mut().put(id, settled_state);
         }
-        final_status(id, final_state.record)
+        Ok(final_status(id, final_state.record))
     }
 }
 
--- a/src/api/responses.rs
+++ b/src/api/responses.rs
@@ -1,4 +1,4 @@
-//! The answers that users get, and the reasons in them.
+//! The answers that users get.
 
 use crate::http::Response;
 use crate::ids::JobId;
@@ -8,13 +8,6 @@
 /// Seconds after which users retry. Short, since most causes are over in a second or two.
 pub(super) const RETRY_AFTER_S: u32 = 1;
 
-/// The store is known to be away, or a read of it failed.
-pub(super) const STORE_UNREACHABLE: &str = "the state service can't be reached";
-/// A write was sent, and its outcome is not known.
-pub(super) const STORE_SILENT: &str = "the state service did not answer";
-/// The rate limiter or the store refused a request.
-pub(super) const STORE_OVERLOADED: &str = "too much is asked of the state service";
-
 /// How many tasks of a job have reached a state, for display.
 pub(super) struct TaskCounts {
     /// Tasks that are done.
@@ -23,11 +16,6 @@
     pub(super) running: u64,
 }
 
-/// Asks the user to come back soon, for a reason.
-pub(super) fn retry_later(reason: &str) -> Response {
-    Response::retry_later(reason, RETRY_AFTER_S)
-}
-
 /// The job was never accepted, or its name is not one of a job.
 pub(super) fn no_such_job() -> Response {
     Response::error(404, "no such job")
--- a/src/api/revision_check.rs
+++ b/src/api/revision_check.rs
@@ -1,6 +1,7 @@
 //! Validates in batches that jobs are still as the watch cache shows them: a transaction that only
 //! compares covers many polls with one request.
 
+use super::retry_reason::RetryReason;
 use crate::ids::{JobId, Revision};
 use crate::protocol::store::Txn;
 use crate::runtime::{self, Sender, channel, oneshot};
@@ -27,7 +28,7 @@
     /// The store has another revision, or the job is gone.
     Changed,
     /// The store could not be asked.
-    Unknown,
+    Unknown(RetryReason),
 }
 
 /// One poll that waits for its answer.
@@ -66,7 +67,7 @@
     /// Whether a job is still at a revision; answers within about a second.
     pub(super) async fn check_revision(&self, job: &JobId, revision: Revision) -> RevisionStatus {
         if self.queue.backlog() >= MAX_QUEUED_QUERIES {
-            return RevisionStatus::Unknown;
+            return RevisionStatus::Unknown(RetryReason::TooManyQuestions);
         }
         let (answer, result) = oneshot();
         self.queue.send(RevisionQuery {
@@ -74,7 +75,8 @@
             revision,
             answer,
         });
-        result.get().await.unwrap_or(RevisionStatus::Unknown)
+        let lost = RevisionStatus::Unknown(RetryReason::StoreSilent);
+        result.get().await.unwrap_or(lost)
     }
 }
 
@@ -96,7 +98,7 @@
     }
     let mut outcome = store.txn(request_class(0), &txn).await;
     for attempt in 1..MAX_ATTEMPTS {
-        if outcome != TxnOutcome::Refused || !store.is_up() {
+        if !matches!(outcome, TxnOutcome::Refused(_)) || !store.is_up() {
             break;
         }
         runtime::sleep(RETRY_DELAY).await;
@@ -114,7 +116,9 @@
             RevisionStatus::Changed
         }
         TxnOutcome::Committed(_) | TxnOutcome::Failed(..) => RevisionStatus::Unchanged,
-        TxnOutcome::Refused | TxnOutcome::Invalid | TxnOutcome::Unknown => RevisionStatus::Unknown,
+        TxnOutcome::Refused(_) | TxnOutcome::Invalid | TxnOutcome::Unknown => {
+            RevisionStatus::Unknown(RetryReason::of_txn(outcome))
+        }
     }
 }
 
--- a/src/api/submit.rs
+++ b/src/api/submit.rs
@@ -2,11 +2,10 @@
 
 use super::dependencies::new_job;
 use super::feasibility;
-use super::job_api::JobApi;
+use super::job_api::{Answer, JobApi};
 use super::job_lookup::JobLookup;
-use super::responses::{
-    STORE_OVERLOADED, STORE_SILENT, STORE_UNREACHABLE, job_status, retry_later,
-};
+use super::responses::job_status;
+use super::retry_reason::RetryReason;
 use crate::http::Response;
 use crate::ids::{JobId, UnixTime};
 use crate::protocol::{JobSpec, JobState, submitted_id};
@@ -17,23 +16,30 @@
 impl JobApi {
     /// Accepts or refuses a job. A retry of one that was accepted is answered like a poll.
     pub(crate) async fn submit(&self, body: &[u8]) -> Response {
-        let spec = match JobSpec::parse(body) {
-            Ok(spec) => spec,
-            Err(error) => return self.malformed(body, &error.to_string()).await,
-        };
+        match JobSpec::parse(body) {
+            Ok(spec) => {
+                let id = spec.id.clone();
+                let answer = self.submit_valid(spec).await;
+                self.respond(&id, answer)
+            }
+            Err(error) => self.malformed(body, &error.to_string()).await,
+        }
+    }
+
+    async fn submit_valid(&self, spec: JobSpec) -> Answer {
         let id = spec.id.clone();
         if self.is_known(&id) {
             return self.poll_known(&id).await;
         }
         if !self.store.is_up() {
-            return retry_later(STORE_UNREACHABLE);
+            return Err(RetryReason::StoreDown);
         }
         let catalog = {
             let controller = self.controller.borrow();
             controller.cache.catalog.as_ref().map(|c| c.value.clone())
         };
         let Some(catalog) = catalog else {
-            return retry_later("machine types are not known yet");
+            return Err(RetryReason::CatalogUnknown);
         };
         if let Err(infeasible) = feasibility::check(&spec, &self.config, &catalog) {
             return self.refuse(&id, &infeasible.to_string()).await;
@@ -52,26 +58,25 @@
     }
 
     /// Accepts a job that depends on no other.
-    async fn submit_independent(&self, spec: JobSpec) -> Response {
+    async fn submit_independent(&self, spec: JobSpec) -> Answer {
         let id = spec.id.clone();
         let record = JobRecord::new(spec, UnixTime::now());
         let mut txn = new_job(&id);
         txn.put(keys::job(&id), &record, None);
         match self.store.txn(RequestClass::Accept, &txn).await {
-            TxnOutcome::Committed(_) => job_status(201, &id, JobState::Queued, None),
+            TxnOutcome::Committed(_) => Ok(job_status(201, &id, JobState::Queued, None)),
             TxnOutcome::Failed(..) => self.poll_known(&id).await,
-            TxnOutcome::Refused | TxnOutcome::Invalid => retry_later(STORE_OVERLOADED),
-            // It may be accepted already; a retry shows it.
-            TxnOutcome::Unknown => retry_later(STORE_SILENT),
+            // If it is not known, it may be accepted already; a retry shows it.
+            outcome => Err(RetryReason::of_txn(&outcome)),
         }
     }
 
     /// Refuses a submission for good. What was accepted once is never refused later, whatever has
     /// changed since.
-    pub(super) async fn refuse(&self, id: &JobId, reason: &str) -> Response {
+    pub(super) async fn refuse(&self, id: &JobId, reason: &str) -> Answer {
         match self.find(id).await {
-            JobLookup::NeverAccepted => Response::error(422, reason),
-            JobLookup::Unavailable => retry_later(STORE_UNREACHABLE),
+            JobLookup::NeverAccepted => Ok(Response::error(422, reason)),
+            JobLookup::Unavailable(reason) => Err(reason),
             JobLookup::Live(_) | JobLookup::Ended(_) => self.poll_known(id).await,
         }
     }
@@ -81,10 +86,11 @@
         let Some(id) = submitted_id(body) else {
             return Response::error(400, message);
         };
-        match self.poll_known(&id).await {
-            known if known.status == 404 => Response::error(400, message),
-            known => known,
-        }
+        let answer = match self.poll_known(&id).await {
+            Ok(known) if known.status == 404 => Ok(Response::error(400, message)),
+            answer => answer,
+        };
+        self.respond(&id, answer)
     }
 }
 
--- a/src/controller/completion.rs
+++ b/src/controller/completion.rs
@@ -52,7 +52,7 @@
     /// The outcome of a job's completion. One that certainly was not written is tried again at once.
     pub(super) fn on_outcome(&mut self, job: &JobId, outcome: &TxnOutcome) {
         match outcome {
-            TxnOutcome::Refused | TxnOutcome::Invalid | TxnOutcome::Failed(..) => {
+            TxnOutcome::Refused(_) | TxnOutcome::Invalid | TxnOutcome::Failed(..) => {
                 self.in_flight.remove(job);
             }
             TxnOutcome::Committed(_) | TxnOutcome::Unknown => {}
--- a/src/controller/dependents.rs
+++ b/src/controller/dependents.rs
@@ -128,7 +128,7 @@
                 self.take_released(id, *revision);
             }
             // The watch cache is behind, or other controllers write as well: what it shows then decides.
-            TxnOutcome::Refused | TxnOutcome::Invalid | TxnOutcome::Failed(..) => {
+            TxnOutcome::Refused(_) | TxnOutcome::Invalid | TxnOutcome::Failed(..) => {
                 let until = now + REFUSED_RETRY_INTERVAL;
                 self.dependents.releasing.insert(id.clone(), until);
             }
--- a/src/controller/plans.rs
+++ b/src/controller/plans.rs
@@ -108,7 +108,7 @@
         // without end (entry 37769b7d).
         self.retry_at = now + BATCH_DELAY;
         // Under any other outcome the plans are written, or another controller leads.
-        if !matches!(outcome, TxnOutcome::Refused) {
+        if !matches!(outcome, TxnOutcome::Refused(_)) {
             return;
         }
         for job in jobs {
--- a/src/daemon/effects.rs
+++ b/src/daemon/effects.rs
@@ -1,6 +1,7 @@
 //! Carries out the controller's effects and returns their outcomes to it.
 
 use super::node::Node;
+use crate::cloud::RentOutcome;
 use crate::controller::{Effect, TxnRequester};
 use crate::http::{Failure, Method, Response};
 use crate::ids::{JobId, MachineId};
@@ -79,10 +80,23 @@
 
     async fn rent_machines(self: Rc<Self>, request: RentRequest) {
         let outcome = self.cloud.rent(&request).await;
-        tracing::info!(?request, ?outcome, "scale-out request answered");
+        self.log_rental(&request, &outcome);
         self.update(|controller, now| controller.on_rent(now, &request, outcome));
     }
 
+    /// One line for each answer, but of those that only ask to repeat the request the first alone.
+    fn log_rental(&self, request: &RentRequest, outcome: &RentOutcome) {
+        let mut refused = self.refused_rentals.borrow_mut();
+        if matches!(outcome, RentOutcome::Again) {
+            if refused.record(self.now(), &request.request).is_some() {
+                tracing::info!(?request, ?outcome, "scale-out request answered");
+            }
+            return;
+        }
+        let refusals = refused.end(&request.request).map_or(0, |e| e.count);
+        tracing::info!(?request, ?outcome, refusals, "scale-out request answered");
+    }
+
     async fn delete_machines(self: Rc<Self>, ids: Vec<MachineId>) {
         let ok = self.cloud.delete(&ids).await;
         tracing::info!(?ids, ok, "machine deletion answered");
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -10,10 +10,12 @@
 mod cloud_calls;
 mod effects;
 mod endpoint;
+mod episode_log;
 mod forwarding;
 mod heartbeat_endpoint;
 mod http_routes;
 mod lease_maintenance;
+mod membership_log;
 mod node;
 mod peer_messages;
 mod peer_status;
@@ -75,6 +77,7 @@
     scope.spawn(lease_maintenance::maintain_lease(node.clone()));
     scope.spawn(store_watch::watch_store(node.clone()));
     scope.spawn(tick_loop::tick_loop(node.clone()));
+    scope.spawn(episode_log::log_ended_episodes(node.clone()));
     scope.spawn(peer_status::publish_peer_status(node.clone()));
     scope.spawn(cancellation_confirmation::confirm_cancellations(
         node.clone(),
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -2,13 +2,15 @@
 
 use super::cloud_calls::CloudCalls;
 use super::endpoint::ResponseStats;
+use super::membership_log::MembershipLog;
 use super::pending_forwards::PendingForwards;
 use super::served_peers::ServedPeers;
 use crate::api::{Cancellation, JobApi};
 use crate::config::Config;
 use crate::controller::{Controller, Effect};
+use crate::episodes::Episodes;
 use crate::http::Client;
-use crate::ids::{Incarnation, Member, MonotonicTime};
+use crate::ids::{Incarnation, Member, Millis, MonotonicTime};
 use crate::peers::{Links, Message, RelayRoutes};
 use crate::runtime::{Scope, Sender};
 use crate::store::Store;
@@ -18,6 +20,10 @@
 
 /// Largest heartbeat that is read: a worker's lines are bounded, its list of tasks is not.
 const HEARTBEAT_BODY_LIMIT: usize = 1024 * 1024;
+/// A scale-out request that is not repeated for so long was given up.
+const RENTAL_QUIET_AFTER: Millis = Millis(30_000);
+/// More refused scale-out requests are logged one by one no longer.
+const MAX_REFUSED_RENTALS: usize = 1000;
 /// What a controller may use of the key-value store's rates, in even shares: somewhat more than
 /// one, since seldom do all controllers need theirs.
 const STORE_RATE_SHARES: f64 = 1.3;
@@ -52,6 +58,10 @@
     pub(super) pending_forwards: PendingForwards,
     /// Counts and latencies of HTTP responses.
     pub(super) response_stats: ResponseStats,
+    /// The last leader and shard owners that were logged.
+    pub(super) membership_log: RefCell<MembershipLog>,
+    /// Scale-out requests that the cloud goes on refusing, by their names.
+    pub(super) refused_rentals: RefCell<Episodes<String>>,
 }
 
 impl Node {
@@ -81,6 +91,12 @@
             served_peers: ServedPeers::default(),
             pending_forwards: PendingForwards::default(),
             response_stats: ResponseStats::default(),
+            membership_log: RefCell::default(),
+            refused_rentals: RefCell::new(Episodes::new(
+                Millis(0),
+                RENTAL_QUIET_AFTER,
+                MAX_REFUSED_RENTALS,
+            )),
             config,
             incarnation,
             started,
--- a/src/daemon/status_report.rs
+++ b/src/daemon/status_report.rs
@@ -2,6 +2,7 @@
 
 use super::endpoint::EndpointReport;
 use super::node::Node;
+use crate::api::UnansweredReport;
 use crate::ids::{FencingToken, MachineId, Member, Resources, Revision, TeamId, TypeName, Zone};
 use crate::store::rate_limiter::RequestClass;
 use crate::store::records::ProgramVersion;
@@ -49,6 +50,8 @@
     /// Responses by endpoint.
     #[serde(rename = "answers")]
     responses: BTreeMap<&'static str, EndpointReport>,
+    /// Users' questions without an answer.
+    unanswered: UnansweredReport,
 }
 
 /// A shard's owner and its fencing token.
@@ -116,6 +119,7 @@
             owned_machines: controller.shard_owner.tracked_count(),
             store: StoreReport::new(&node.store),
             responses: node.response_stats.report(),
+            unanswered: node.api.unanswered_report(),
         }
     }
 }
--- a/src/daemon/store_watch.rs
+++ b/src/daemon/store_watch.rs
@@ -7,7 +7,7 @@
 use crate::store::watch_cache::WatchCache;
 use crate::store::{Store, StoreError, keys};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 const MAX_WATCH_DELAY: Duration = Duration::from_millis(120);
@@ -20,9 +20,9 @@
         match load_snapshot(&node.store, &node.config).await {
             Ok(cache) => {
                 let revision = cache.revision;
-                tracing::info!(%revision, jobs = cache.jobs.len(), machines = cache.machines.len(), "watch cache loaded");
                 node.loaded.set(true);
                 node.update(|controller, now| controller.on_snapshot(now, cache));
+                log_membership(&node);
                 apply_changes(&node, revision).await;
             }
             Err(error) => {
@@ -43,12 +43,13 @@
                     let (effects, _) = controller.on_events(now, events.revision, events.events);
                     effects
                 });
+                log_membership(node);
                 // Each answer costs a request: the fewer are left, the more changes are collected
                 // for the next one.
                 runtime::sleep(node.store.watch_delay(MAX_WATCH_DELAY)).await;
             }
             Err(StoreError::Gone) => return,
-            Err(StoreError::Unavailable) => runtime::sleep(WATCH_RETRY_DELAY).await,
+            Err(_) => runtime::sleep(WATCH_RETRY_DELAY).await,
         }
     }
 }
@@ -57,11 +58,14 @@
 /// brings whatever changed in between.
 async fn load_snapshot(store: &Store, config: &Config) -> Result<WatchCache, StoreError> {
     let mut cache = WatchCache::new(config);
+    let begun = Instant::now();
     let mut first_revision = None;
+    let mut last_revision;
     let mut last_key: Option<String> = None;
     loop {
         let page = store.page(keys::LIVE, last_key.as_deref()).await?;
         first_revision.get_or_insert(page.revision);
+        last_revision = page.revision;
         last_key = page.items.last().map(|item| item.key.clone());
         let more = page.more && last_key.is_some();
         for item in page.items {
@@ -72,5 +76,14 @@
         }
     }
     cache.revision = first_revision.unwrap_or_default();
+    // While it was read, the store went on by so many revisions: the watch brings them.
+    let behind = last_revision.0.saturating_sub(cache.revision.0);
+    tracing::info!(revision = %cache.revision, behind, took = ?begun.elapsed(), jobs = cache.jobs.len(), machines = cache.machines.len(), "watch cache loaded");
     Ok(cache)
 }
+
+fn log_membership(node: &Node) {
+    let controller = node.controller.borrow();
+    let mut log = node.membership_log.borrow_mut();
+    log.update(&controller.cache, &node.config.member);
+}
--- a/src/leadership/lease.rs
+++ b/src/leadership/lease.rs
@@ -58,7 +58,7 @@
         TxnOutcome::Committed(_) => Ok(lease),
         _ => {
             store.revoke_lease(lease).await.ok();
-            Err(StoreError::Unavailable)
+            Err(StoreError::Unanswered)
         }
     }
 }
@@ -97,8 +97,8 @@
             }
             Err(StoreError::Gone) => return,
             // In an outage leases keep their time; only the service can say that one is gone.
-            Err(StoreError::Unavailable) => {
-                tracing::debug!(late = ?renewed_at.elapsed(), "lease not renewed");
+            Err(error) => {
+                tracing::debug!(late = ?renewed_at.elapsed(), %error, "lease not renewed");
                 runtime::sleep(RETRY_DELAY).await;
             }
         }
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -135,7 +135,7 @@
                 self.retry_revision = *revision;
                 self.retry_at = now + CONFLICT_RETRY_DELAY;
             }
-            TxnOutcome::Refused | TxnOutcome::Invalid | TxnOutcome::Unknown => {
+            TxnOutcome::Refused(_) | TxnOutcome::Invalid | TxnOutcome::Unknown => {
                 self.retry_at = now + RETRY_DELAY;
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 mod config;
 mod controller;
 mod daemon;
+mod episodes;
 mod http;
 mod ids;
 mod leadership;
--- a/src/simulation/effects.rs
+++ b/src/simulation/effects.rs
@@ -12,7 +12,7 @@
 use crate::controller::{Effect, TxnRequester};
 use crate::ids::Member;
 use crate::protocol::store::Txn;
-use crate::store::TxnOutcome;
+use crate::store::{Refusal, TxnOutcome};
 
 /// How long a request to the store or a worker takes, in ms.
 const REQUEST_MS: (u64, u64) = (1, 5);
@@ -111,7 +111,7 @@
         } = request;
         let cut = self.nodes[caller.node].store_cut_until > self.now;
         let outcome = if (cut && answered) || !self.admits(caller.node, &requester, &txn) {
-            TxnOutcome::Refused
+            TxnOutcome::Refused(Refusal::Store)
         } else {
             self.store.txn(&txn)
         };
--- a/src/simulation/models/store.rs
+++ b/src/simulation/models/store.rs
@@ -3,8 +3,8 @@
 use crate::config::Config;
 use crate::ids::{LeaseId, MonotonicTime, Revision};
 use crate::protocol::store::{Change, Event, Item, Txn};
-use crate::store::TxnOutcome;
 use crate::store::watch_cache::WatchCache;
+use crate::store::{Refusal, TxnOutcome};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -150,7 +150,7 @@
         }
         let lease_ended = |change: &Change| matches!(change, Change::Put { lease: Some(lease), .. } if !self.leases.contains_key(lease));
         if txn.changes.iter().any(lease_ended) {
-            return TxnOutcome::Refused;
+            return TxnOutcome::Refused(Refusal::Store);
         }
         if !txn.changes.is_empty() {
             self.revision.0 += 1;
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -4,6 +4,7 @@
 use super::admission::{Admission, TokenLevels};
 use super::counters::Counters;
 use super::rate_limiter::RequestClass;
+use super::refusals::{Refusals, RefusedBy};
 use crate::config::{StateLimits, StateRates};
 use crate::http::{Client, Failure, Method, Response};
 use crate::ids::{LeaseId, MonotonicTime, Revision};
@@ -27,6 +28,15 @@
 /// The least part of the longest delay between two watch requests.
 const MIN_WATCH_DELAY_FRACTION: f64 = 0.25;
 
+/// Who has refused a transaction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// This controller's rate limiter: it was not sent.
+    RateLimiter,
+    /// The store, or it could not be sent there.
+    Store,
+}
+
 /// What became of a transaction.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum TxnOutcome {
@@ -35,7 +45,7 @@
     /// The conditions on these keys did not hold at this revision; nothing was changed.
     Failed(Vec<String>, Revision),
     /// Certainly not executed.
-    Refused,
+    Refused(Refusal),
     /// Certainly not executed, and never will be as it is: too large for the service, or under a
     /// lease that has ended.
     Invalid,
@@ -46,9 +56,18 @@
 /// Why a call other than a transaction has no result.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum StoreError {
-    /// No answer that can be used; the same call may succeed later.
-    #[error("the key-value store can't be reached or refuses")]
-    Unavailable,
+    /// Not sent: this controller's own rate limiter has no token for its class.
+    #[error("held back by the rate limiter")]
+    HeldBack,
+    /// The store has refused it: its rates are used up, or it does not serve this controller.
+    #[error("refused by the key-value store")]
+    Refused,
+    /// No answer, or one of an error.
+    #[error("the key-value store did not answer")]
+    Unanswered,
+    /// An answer that this program can't read.
+    #[error("the answer of the key-value store can't be read")]
+    Unreadable,
     /// What was asked for is no longer there; the same call never succeeds.
     #[error("no such lease, or revisions too old")]
     Gone,
@@ -63,6 +82,7 @@
     /// Calls that have failed one after another, up to now.
     failures: Cell<u32>,
     counters: RefCell<Counters>,
+    refusals: RefCell<Refusals>,
 }
 
 impl Store {
@@ -94,10 +114,12 @@
             admission: RefCell::new(Admission::new(limits, share)),
             failures: Cell::new(0),
             counters: RefCell::new(Counters::default()),
+            refusals: RefCell::new(Refusals::default()),
         }
     }
 
-    fn now(&self) -> MonotonicTime {
+    /// The time since the client was made.
+    pub(crate) fn now(&self) -> MonotonicTime {
         let elapsed = runtime::now().saturating_duration_since(self.started);
         MonotonicTime(elapsed.as_millis() as u64)
     }
@@ -117,6 +139,11 @@
         self.admission.borrow_mut().levels(self.now())
     }
 
+    /// Logs the episodes of refused requests that are over.
+    pub(crate) fn log_ended_refusals(&self) {
+        self.refusals.borrow_mut().log_ended(self.now());
+    }
+
     /// A pause that grows up to `longest` as the requests are used up. Never far below: the
     /// controllers' watches alone would take nearly half of all requests.
     pub(crate) fn watch_delay(&self, longest: Duration) -> Duration {
@@ -134,6 +161,11 @@
         let admitted = admission.try_admit(self.now(), class, changes);
         let mut counters = self.counters.borrow_mut();
         counters.count_request(class, changes, admitted);
+        if !admitted {
+            let by = RefusedBy::RateLimiter(class);
+            let levels = admission.levels(self.now());
+            self.refusals.borrow_mut().record(self.now(), by, levels);
+        }
         admitted
     }
 
@@ -164,6 +196,10 @@
             Ok(response) if response.status == 429 => {
                 self.counters.borrow_mut().refused += 1;
                 self.admission.borrow_mut().on_refused(self.now());
+                let levels = self.levels();
+                self.refusals
+                    .borrow_mut()
+                    .record(self.now(), RefusedBy::Store, levels);
             }
             Ok(_) => {}
             Err(_) => self.counters.borrow_mut().unanswered += 1,
@@ -174,7 +210,7 @@
     /// Runs a transaction if its class has a token for it.
     pub(crate) async fn txn(&self, class: RequestClass, txn: &Txn) -> TxnOutcome {
         if !self.try_admit(class, txn.changes.len()) {
-            return TxnOutcome::Refused;
+            return TxnOutcome::Refused(Refusal::RateLimiter);
         }
         let body = match serde_json::to_vec(txn) {
             Ok(body) if body.len() <= MAX_TXN_BYTES => body,
@@ -183,7 +219,7 @@
         let result = self.call(Method::Post, path::TXN, &body, CALL_TIMEOUT);
         match result.await {
             Ok(answer) => txn_outcome(&answer),
-            Err(Failure::NotSent) => TxnOutcome::Refused,
+            Err(Failure::NotSent) => TxnOutcome::Refused(Refusal::Store),
             Err(Failure::Unknown | Failure::TooLarge) => TxnOutcome::Unknown,
         }
     }
@@ -195,13 +231,13 @@
         key: &str,
     ) -> Result<Option<Item>, StoreError> {
         if !self.try_admit(class, 0) {
-            return Err(StoreError::Unavailable);
+            return Err(StoreError::HeldBack);
         }
         let path = key_path(key);
         match self.call(Method::Get, &path, b"", CALL_TIMEOUT).await {
             Ok(answer) if answer.status == 200 => decode(&answer).map(Some),
             Ok(answer) if answer.status == 404 => Ok(None),
-            _ => Err(StoreError::Unavailable),
+            result => Err(failed_call(&result)),
         }
     }
 
@@ -211,7 +247,7 @@
         let path = page_path(prefix, after);
         match self.call(Method::Get, &path, b"", 2 * CALL_TIMEOUT).await {
             Ok(answer) if answer.status == 200 => decode(&answer),
-            _ => Err(StoreError::Unavailable),
+            result => Err(failed_call(&result)),
         }
     }
 
@@ -232,7 +268,7 @@
             // The same request would get the same answer for ever, and the watch cache would stop.
             // Pages are bounded, however many records there are.
             Err(Failure::TooLarge) => Err(StoreError::Gone),
-            _ => Err(StoreError::Unavailable),
+            result => Err(failed_call(&result)),
         }
     }
 
@@ -243,7 +279,7 @@
         let result = self.call(Method::Post, path::LEASES, &body, CALL_TIMEOUT);
         match result.await {
             Ok(answer) if answer.status == 200 => decode::<Lease>(&answer).map(|lease| lease.id),
-            _ => Err(StoreError::Unavailable),
+            result => Err(failed_call(&result)),
         }
     }
 
@@ -254,7 +290,7 @@
         match self.call(Method::Post, &path, b"", CALL_TIMEOUT).await {
             Ok(answer) if answer.status == 200 => Ok(()),
             Ok(answer) if answer.status == 404 => Err(StoreError::Gone),
-            _ => Err(StoreError::Unavailable),
+            result => Err(failed_call(&result)),
         }
     }
 
@@ -264,13 +300,22 @@
         let path = lease_path(lease);
         match self.call(Method::Delete, &path, b"", CALL_TIMEOUT).await {
             Ok(answer) if matches!(answer.status, 200 | 204 | 404) => Ok(()),
-            _ => Err(StoreError::Unavailable),
+            result => Err(failed_call(&result)),
         }
     }
 }
 
+/// Why a call that has no usable result failed.
+fn failed_call(result: &Result<Response, Failure>) -> StoreError {
+    match result {
+        Ok(response) if matches!(response.status, 400..=499 | 503) => StoreError::Refused,
+        Err(Failure::NotSent) => StoreError::Refused,
+        Ok(_) | Err(Failure::Unknown | Failure::TooLarge) => StoreError::Unanswered,
+    }
+}
+
 fn decode<T: DeserializeOwned>(answer: &Response) -> Result<T, StoreError> {
-    serde_json::from_slice(&answer.body).map_err(|_| StoreError::Unavailable)
+    serde_json::from_slice(&answer.body).map_err(|_| StoreError::Unreadable)
 }
 
 /// What an answer to a transaction says of it.
@@ -291,7 +336,7 @@
         }
         401..=499 | 503 => {
             tracing::debug!(body = %text(), "transaction refused");
-            TxnOutcome::Refused
+            TxnOutcome::Refused(Refusal::Store)
         }
         _ => TxnOutcome::Unknown,
     }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -12,9 +12,10 @@
 pub(crate) mod rate_limiter;
 mod rate_selector;
 pub(crate) mod records;
+mod refusals;
 pub(crate) mod urgency;
 mod versioned;
 pub(crate) mod watch_cache;
 
-pub(crate) use client::{Store, StoreError, TxnOutcome};
+pub(crate) use client::{Refusal, Store, StoreError, TxnOutcome};
 pub(crate) use counters::ClassCounters;
--- a/src/worker_control/shard_owner/commands.rs
+++ b/src/worker_control/shard_owner/commands.rs
@@ -54,6 +54,11 @@
                 .filter(|attempt| !machine.record.holds(attempt));
             commands.extend(orphans.map(|attempt| Command::Stop(attempt.clone(), Millis(0))));
         }
+        if !commands.is_empty() {
+            // A start is allowed by the record of this revision, a stop by the leader's request, by
+            // a cancellation, or by the record that lacks the task.
+            tracing::debug!(machine = %id, token = %tracker.token(), record = %machine.revision, ?route, ?commands, "commands are due");
+        }
         commands
     }
 
--- a/src/worker_control/shard_owner/transactions.rs
+++ b/src/worker_control/shard_owner/transactions.rs
@@ -28,7 +28,7 @@
                 on_committed(now, id, tracker, pending, *revision, cache, out);
             }
             TxnOutcome::Failed(_, revision) => tracker.writes_mut().on_conflict(*revision, now),
-            TxnOutcome::Refused => tracker.writes_mut().retry_later(now),
+            TxnOutcome::Refused(_) => tracker.writes_mut().retry_later(now),
             TxnOutcome::Invalid => {
                 let bytes = pending.record.size();
                 tracing::info!(machine = %id, bytes, "machine record is too large for the key-value store");
