Questions about ended jobs are read with a reserve of their own

Cause: a right to an answer that was kept in one path and not in another. Comparisons of live jobs are tried again with ever larger parts of the rate limit; the two reads of an ended job were of the class that is held back first and were not tried again. Where many asked, the first read of the next question took the token that the second read of this one needed, so reads were paid for and nobody was answered.

Change: whether a job that is not in the watch cache is live, has ended or was never accepted is told by the same batched comparison as for live jobs. An ended job's final record is read by FinalStateReader: one read for all who ask, whoever has asked in vain for longest first and only while a user waits, and a tenth of the controller's requests in reserve for reads that have waited 200 ms. The same holds for the other paths that had the flaw: repeated submissions (the failed condition already says which record exists: one read in place of two), submissions that are refused or malformed, cancellations of ended jobs, dependencies, and outcomes that the leader asks for. Reads of live records for dependencies are tried again like comparisons. Nothing changes on the wire or in the store.

--- a/src/api/cancel.rs
+++ b/src/api/cancel.rs
@@ -34,7 +34,7 @@
         if let Some(item) = self.store.get(RequestClass::Accept, &keys::job(id)).await? {
             return self.cancel_live(id, item).await;
         }
-        match self.read_final_state(id).await? {
+        match self.final_states.read(id).await? {
             Some(final_state) => self.settled_status(id, final_state, None).await,
             None => Ok(no_such_job()),
         }
--- a/src/api/dependencies.rs
+++ b/src/api/dependencies.rs
@@ -49,7 +49,7 @@
                 TxnOutcome::Failed(failed, _) => {
                     let own = [keys::job(&id), keys::final_state(&id)];
                     if failed.iter().any(|key| own.contains(key)) {
-                        return self.poll_known(&id).await;
+                        return self.found_status(&id, &failed).await;
                     }
                     let dependencies = spec.dependencies.iter();
                     let stale = dependencies.filter(|d| failed.contains(&keys::job(d)));
@@ -79,19 +79,19 @@
             return live;
         }
         match self.find(id).await {
-            JobLookup::Live(item) => match serde_json::from_value::<JobRecord>(item.value) {
+            Ok(JobLookup::Live(item)) => match serde_json::from_value::<JobRecord>(item.value) {
                 Ok(record) => DependencyState::Live {
                     kind: record.spec.kind,
                     revision: item.revision,
                 },
                 Err(_) => DependencyState::Unknown,
             },
-            JobLookup::Ended(final_state) if final_state.record.state == JobState::Cancelled => {
-                DependencyState::Cancelled
-            }
-            JobLookup::Ended(_) => DependencyState::Done,
-            JobLookup::NeverAccepted => DependencyState::Never,
-            JobLookup::Unavailable(_) => DependencyState::Unknown,
+            Ok(JobLookup::Ended(final_state)) => match final_state.record.state {
+                JobState::Cancelled => DependencyState::Cancelled,
+                _ => DependencyState::Done,
+            },
+            Ok(JobLookup::NeverAccepted) => DependencyState::Never,
+            Err(_) => DependencyState::Unknown,
         }
     }
 
--- a/src/api/job_api.rs
+++ b/src/api/job_api.rs
@@ -1,7 +1,7 @@
 //! The facade of the users' side. Each kind of request has a file of its own: `submit`, `query`,
 //! `cancel` and `dependencies`.
 
-use super::final_state::FinalStateCache;
+use super::final_state_reader::FinalStateReader;
 use super::retry_reason::RetryReason;
 use super::revision_check::RevisionChecker;
 use super::unanswered::{UnansweredQuestions, UnansweredReport};
@@ -41,8 +41,8 @@
     pub(super) controller: Rc<RefCell<Controller>>,
     /// Validates what the watch cache shows of a job.
     pub(super) revision_checker: RevisionChecker,
-    /// Final states that were read before.
-    pub(super) final_states: RefCell<FinalStateCache>,
+    /// Final states that were read before, and reads of others.
+    pub(super) final_states: FinalStateReader,
     /// Takes cancellations that other controllers have to confirm.
     pub(super) cancellations: Sender<Cancellation>,
     /// Questions that were not answered.
@@ -59,12 +59,13 @@
     ) -> Self {
         let max_conditions = Txn::CONDITIONS_PER_CHANGE * config.state.txn_ops;
         let revision_checker = RevisionChecker::start(store.clone(), max_conditions);
+        let final_states = FinalStateReader::new(store.clone());
         Self {
             config: config.clone(),
             store,
             controller,
             revision_checker,
-            final_states: RefCell::default(),
+            final_states,
             cancellations,
             unanswered: RefCell::default(),
         }
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -5,16 +5,19 @@
 pub(crate) mod dependencies;
 mod feasibility;
 mod final_state;
+mod final_state_reader;
 mod job_api;
 mod job_lookup;
 mod query;
 mod responses;
+mod retries;
 mod retry_reason;
 mod revision_check;
 mod submit;
 #[cfg(test)]
 mod tests;
 mod unanswered;
+mod waiting_questions;
 
 pub(crate) use job_api::{Cancellation, JobApi};
 pub(crate) use unanswered::UnansweredReport;
--- a/src/api/query.rs
+++ b/src/api/query.rs
@@ -2,14 +2,14 @@
 
 use super::final_state::FinalState;
 use super::job_api::{Answer, Cancellation, JobApi};
-use super::job_lookup::JobLookup;
 use super::responses::{TaskCounts, final_status, job_status, no_such_job};
 use super::retry_reason::RetryReason;
-use super::revision_check::RevisionStatus;
+use super::revision_check::StoredJob;
 use crate::http::Response;
 use crate::ids::JobId;
 use crate::protocol::{JobState, valid_job_id};
 use crate::runtime::oneshot;
+use crate::store::keys;
 use std::time::Instant;
 
 impl JobApi {
@@ -31,26 +31,38 @@
         if !self.store.is_up() {
             return Err(RetryReason::StoreDown);
         }
-        let revision = {
+        let cached = {
             let controller = self.controller.borrow();
             controller.cache.job_revision(id)
         };
-        if let Some(revision) = revision {
-            match self.revision_checker.check_revision(id, revision).await {
-                RevisionStatus::Unchanged => {
-                    tracing::debug!(job = %id, %revision, "live job validated");
-                    return Ok(self.live_status(id));
-                }
-                RevisionStatus::Changed => {}
-                RevisionStatus::Unknown(reason) => return Err(reason),
-            }
+        match self.revision_checker.check(id, cached).await {
+            StoredJob::Live => Ok(self.live_status(id)),
+            StoredJob::Ended => self.ended_status(id).await,
+            // It has ended, or it was released: its record is only ever deleted with the final
+            // record's write, so a job without that one is live.
+            StoredJob::Changed => match self.final_states.read(id).await? {
+                Some(final_state) => self.settled_status(id, final_state, None).await,
+                None => Ok(self.live_status(id)),
+            },
+            StoredJob::NeverAccepted => Ok(no_such_job()),
+            StoredJob::Unknown(reason) => Err(reason),
+        }
+    }
+
+    /// The answer for a job whose final record exists.
+    async fn ended_status(&self, id: &JobId) -> Answer {
+        match self.final_states.read(id).await? {
+            Some(final_state) => self.settled_status(id, final_state, None).await,
+            None => Err(RetryReason::Unreadable),
         }
-        match self.find(id).await {
-            JobLookup::Live(_) => Ok(self.live_status(id)),
-            JobLookup::Ended(final_state) => self.settled_status(id, final_state, None).await,
-            JobLookup::NeverAccepted => Ok(no_such_job()),
-            JobLookup::Unavailable(reason) => Err(reason),
+    }
+
+    /// The answer for a job that was not accepted since records of it exist: those under `found`.
+    pub(super) async fn found_status(&self, id: &JobId, found: &[String]) -> Answer {
+        if found.contains(&keys::final_state(id)) {
+            return self.ended_status(id).await;
         }
+        Ok(self.live_status(id))
     }
 
     /// Counts are for display: they are the watch cache's.
@@ -94,11 +106,7 @@
             if !self.cancel_dependents(id, final_state.revision).await {
                 return Err(RetryReason::DependentsStopping);
             }
-            let settled_state = FinalState {
-                settled: true,
-                ..final_state
-            };
-            self.final_states.borrow_mut().put(id, settled_state);
+            self.final_states.settle(id, final_state);
         }
         Ok(final_status(id, final_state.record))
     }
--- a/src/api/query/tests.rs
+++ b/src/api/query/tests.rs
@@ -41,6 +41,8 @@
 /// Unfinished jobs that are polled at the same time.
 const LIVE_JOBS: usize = 500;
 const ENDED_JOBS: usize = 200;
+/// So many that their reads take several times as long as users wait for an answer.
+const MANY_ENDED_JOBS: usize = 800;
 const FIRST_ENDED_ID: usize = 1000;
 
 /// What a user asks about a job.
@@ -138,16 +140,18 @@
 struct Outcome {
     live: Experience,
     ended: Experience,
+    /// Ends of other jobs that were written.
+    written_ends: u64,
 }
 
 /// Lets users poll live jobs, and others ask about jobs that have ended. The outcome is judged
 /// after the event loop has ended, since a panic inside would end the test process.
-fn ask_about_ended_jobs(questions: &'static [Question]) -> Outcome {
+fn ask_about_ended_jobs(questions: &'static [Question], ended_jobs: usize) -> Outcome {
     let outcome = Rc::new(RefCell::new(None));
     let result = outcome.clone();
     run_in_virtual_time(async move {
         let live_jobs = job_ids(0, LIVE_JOBS);
-        let ended_jobs = job_ids(FIRST_ENDED_ID, ENDED_JOBS);
+        let ended_jobs = job_ids(FIRST_ENDED_ID, ended_jobs);
         let cluster = Rc::new(BusyCluster::start(&live_jobs, &ended_jobs));
         let (live, ended) = (Rc::default(), Rc::default());
         let mut users = Scope::default();
@@ -178,6 +182,7 @@
         let outcome = Outcome {
             live: *live.borrow(),
             ended: *ended.borrow(),
+            written_ends: cluster.written_ends.get(),
         };
         *result.borrow_mut() = Some(outcome);
     });
@@ -192,7 +197,7 @@
 }
 
 fn assert_all_answered(questions: &'static [Question]) {
-    let Outcome { live, ended } = ask_about_ended_jobs(questions);
+    let Outcome { live, ended, .. } = ask_about_ended_jobs(questions, ENDED_JOBS);
     assert!(live.longest_silence < FORGOTTEN_AFTER, "live {live:?}");
     assert!(ended.longest_silence < FORGOTTEN_AFTER, "ended {ended:?}");
     assert_eq!(ended.answered, ENDED_JOBS);
@@ -220,3 +225,22 @@
         Question::FinalOutcome,
     ]);
 }
+
+/// Questions about many ended jobs take neither from ends of jobs nor from the users of live ones.
+#[test]
+fn questions_about_ended_jobs_leave_requests_for_ends_and_live_jobs() {
+    let without = ask_about_ended_jobs(&[Question::Poll], 0);
+    let with = ask_about_ended_jobs(&[Question::Poll], MANY_ENDED_JOBS);
+    let ends = (without.written_ends, with.written_ends);
+    assert!(ends.1 * 100 >= ends.0 * 95, "ends {ends:?}");
+    let live = (without.live, with.live);
+    assert!(live.1.answered * 100 >= live.0.answered * 98, "{live:?}");
+    assert!(live.1.longest_silence < FORGOTTEN_AFTER, "{live:?}");
+    // So many at once, right after all controllers have restarted, have to wait their turn.
+    assert!(
+        with.ended.longest_silence < FORGOTTEN_AFTER,
+        "{:?}",
+        with.ended
+    );
+    assert_eq!(with.ended.answered, MANY_ENDED_JOBS);
+}
--- a/src/api/revision_check.rs
+++ b/src/api/revision_check.rs
@@ -1,11 +1,12 @@
-//! Validates in batches that jobs are still as the watch cache shows them: a transaction that only
-//! compares covers many polls with one request.
+//! Validates in batches that jobs are still as the watch cache shows them, and tells live jobs from
+//! ended ones where it does not show them: a transaction that only compares covers many polls with
+//! one request.
 
+use super::retries::retry_refused;
 use super::retry_reason::RetryReason;
 use crate::ids::{JobId, Revision};
 use crate::protocol::store::Txn;
 use crate::runtime::{self, Sender, channel, oneshot};
-use crate::store::rate_limiter::RequestClass;
 use crate::store::{Store, TxnOutcome, keys};
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,112 +14,125 @@
 /// How long queries gather for a batch. Users can wait for seconds, and with smaller batches the
 /// comparisons would take a large part of all requests that the store allows.
 const QUERY_BATCH_DELAY: Duration = Duration::from_millis(150);
-/// A comparison that the rate limiter refuses is tried again while its users still wait.
-const MAX_ATTEMPTS: u32 = 6;
-/// The time between two attempts.
-const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Queries beyond this many are answered as unknown at once.
 const MAX_QUEUED_QUERIES: usize = 4000;
 
-/// Whether a job is still at the revision that the watch cache shows.
+/// What the store holds of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum RevisionStatus {
-    /// It is.
-    Unchanged,
-    /// The store has another revision, or the job is gone.
+pub(super) enum StoredJob {
+    /// Its record, at the revision that the watch cache shows if it shows one.
+    Live,
+    /// Its record at another revision, or its final record.
     Changed,
+    /// Its final record.
+    Ended,
+    /// Neither: it was never accepted.
+    NeverAccepted,
     /// The store could not be asked.
     Unknown(RetryReason),
 }
 
 /// One poll that waits for its answer.
-struct RevisionQuery {
+struct JobQuery {
     job: JobId,
-    revision: Revision,
-    answer: Sender<RevisionStatus>,
+    /// The revision that the watch cache shows; `None`: it does not show the job.
+    cached: Option<Revision>,
+    answer: Sender<StoredJob>,
+}
+
+impl JobQuery {
+    /// How many conditions it adds.
+    fn conditions(&self) -> usize {
+        match self.cached {
+            Some(_) => 1,
+            None => 2,
+        }
+    }
+
+    /// Adds conditions whose failures tell what the store holds.
+    fn add_conditions(&self, txn: &mut Txn) {
+        txn.require(keys::job(&self.job), self.cached.unwrap_or_default());
+        if self.cached.is_none() {
+            txn.require(keys::final_state(&self.job), Revision(0));
+        }
+    }
+
+    /// What the outcome of the comparison says of the job.
+    fn stored_job(&self, outcome: &TxnOutcome) -> StoredJob {
+        let failed = match outcome {
+            TxnOutcome::Committed(_) => &[][..],
+            TxnOutcome::Failed(failed, _) => failed.as_slice(),
+            TxnOutcome::Refused(_) | TxnOutcome::Invalid | TxnOutcome::Unknown => {
+                return StoredJob::Unknown(RetryReason::of_txn(outcome));
+            }
+        };
+        let live_failed = failed.contains(&keys::job(&self.job));
+        match (self.cached, live_failed) {
+            (Some(_), false) => StoredJob::Live,
+            (Some(_), true) => StoredJob::Changed,
+            (None, _) if failed.contains(&keys::final_state(&self.job)) => StoredJob::Ended,
+            (None, true) => StoredJob::Live,
+            (None, false) => StoredJob::NeverAccepted,
+        }
+    }
 }
 
 /// Gathers queries and answers them batch by batch.
 pub(super) struct RevisionChecker {
-    queue: Sender<RevisionQuery>,
+    queue: Sender<JobQuery>,
 }
 
 impl RevisionChecker {
-    /// Starts the task that serves queries. `max_batch`: the conditions that a transaction may have.
-    pub(super) fn start(store: Rc<Store>, max_batch: usize) -> Self {
-        let (queue, mut queries) = channel::<RevisionQuery>();
+    /// Starts the task that serves queries. `max_conditions`: those that a transaction may have.
+    pub(super) fn start(store: Rc<Store>, max_conditions: usize) -> Self {
+        let (queue, mut queries) = channel::<JobQuery>();
         runtime::spawn(async move {
             while let Some(first) = queries.recv().await {
-                if queries.backlog() + 1 < max_batch {
+                if queries.backlog() + 1 < max_conditions {
                     runtime::sleep(QUERY_BATCH_DELAY).await;
                 }
+                let mut txn = Txn::default();
+                first.add_conditions(&mut txn);
                 let mut batch = vec![first];
-                while batch.len() < max_batch
-                    && let Some(next) = queries.try_recv()
+                while let Some(next) = queries
+                    .try_recv_if(|next| txn.conditions.len() + next.conditions() <= max_conditions)
                 {
+                    next.add_conditions(&mut txn);
                     batch.push(next);
                 }
-                runtime::spawn(check_batch(store.clone(), batch));
+                runtime::spawn(check_batch(store.clone(), txn, batch));
             }
         });
         Self { queue }
     }
 
-    /// Whether a job is still at a revision; answers within about a second.
-    pub(super) async fn check_revision(&self, job: &JobId, revision: Revision) -> RevisionStatus {
+    /// What the store holds of a job that the watch cache shows at a revision, or does not show;
+    /// answers within about a second.
+    pub(super) async fn check(&self, job: &JobId, cached: Option<Revision>) -> StoredJob {
         if self.queue.backlog() >= MAX_QUEUED_QUERIES {
-            return RevisionStatus::Unknown(RetryReason::TooManyQuestions);
+            return StoredJob::Unknown(RetryReason::TooManyQuestions);
         }
         let (answer, result) = oneshot();
-        self.queue.send(RevisionQuery {
+        self.queue.send(JobQuery {
             job: job.clone(),
-            revision,
+            cached,
             answer,
         });
-        let lost = RevisionStatus::Unknown(RetryReason::StoreSilent);
+        let lost = StoredJob::Unknown(RetryReason::StoreSilent);
         result.get().await.unwrap_or(lost)
     }
 }
 
-/// The longer its users have waited, the larger the part of the rate limit that a comparison may
-/// use: at last even that of placements, so that every job gets an answer however low the limit is.
-fn request_class(attempt: u32) -> RequestClass {
-    match attempt {
-        0..2 => RequestClass::Poll,
-        2..4 => RequestClass::Place,
-        _ => RequestClass::Accept,
-    }
-}
-
-/// Compares all revisions of a batch in one transaction and answers its queries.
-async fn check_batch(store: Rc<Store>, batch: Vec<RevisionQuery>) {
-    let mut txn = Txn::default();
-    for query in &batch {
-        txn.require(keys::job(&query.job), query.revision);
-    }
-    let mut outcome = store.txn(request_class(0), &txn).await;
-    for attempt in 1..MAX_ATTEMPTS {
-        if !matches!(outcome, TxnOutcome::Refused(_)) || !store.is_up() {
-            break;
-        }
-        runtime::sleep(RETRY_DELAY).await;
-        outcome = store.txn(request_class(attempt), &txn).await;
-    }
+/// Makes all comparisons of a batch in one transaction and answers its queries.
+async fn check_batch(store: Rc<Store>, txn: Txn, batch: Vec<JobQuery>) {
+    let outcome = retry_refused(
+        &store,
+        async |class| store.txn(class, &txn).await,
+        |outcome| matches!(outcome, TxnOutcome::Refused(_)),
+    );
+    let outcome = outcome.await;
     for query in batch {
-        query.answer.send(revision_status(&query.job, &outcome));
-    }
-}
-
-/// What the outcome of a batch says of one of its jobs.
-fn revision_status(job: &JobId, outcome: &TxnOutcome) -> RevisionStatus {
-    match outcome {
-        TxnOutcome::Failed(failed, _) if failed.contains(&keys::job(job)) => {
-            RevisionStatus::Changed
-        }
-        TxnOutcome::Committed(_) | TxnOutcome::Failed(..) => RevisionStatus::Unchanged,
-        TxnOutcome::Refused(_) | TxnOutcome::Invalid | TxnOutcome::Unknown => {
-            RevisionStatus::Unknown(RetryReason::of_txn(outcome))
-        }
+        query.answer.send(query.stored_job(&outcome));
     }
 }
 
--- a/src/api/revision_check/tests.rs
+++ b/src/api/revision_check/tests.rs
@@ -1,5 +1,6 @@
-use super::*;
+use crate::api::retries::{MAX_ATTEMPTS, RETRY_DELAY, request_class};
 use crate::ids::MonotonicTime;
+use crate::store::rate_limiter::RequestClass;
 use crate::store::rate_limiter::TokenBucket;
 
 /// Placements take four fifths of the requests there are, and users poll thousands of jobs: every
--- a/src/api/submit.rs
+++ b/src/api/submit.rs
@@ -3,7 +3,6 @@
 use super::dependencies::new_job;
 use super::feasibility;
 use super::job_api::{Answer, JobApi};
-use super::job_lookup::JobLookup;
 use super::responses::job_status;
 use super::retry_reason::RetryReason;
 use crate::http::Response;
@@ -65,7 +64,7 @@
         txn.put(keys::job(&id), &record, None);
         match self.store.txn(RequestClass::Accept, &txn).await {
             TxnOutcome::Committed(_) => Ok(job_status(201, &id, JobState::Queued, None)),
-            TxnOutcome::Failed(..) => self.poll_known(&id).await,
+            TxnOutcome::Failed(failed, _) => self.found_status(&id, &failed).await,
             // If it is not known, it may be accepted already; a retry shows it.
             outcome => Err(RetryReason::of_txn(&outcome)),
         }
@@ -74,10 +73,14 @@
     /// Refuses a submission for good. What was accepted once is never refused later, whatever has
     /// changed since.
     pub(super) async fn refuse(&self, id: &JobId, reason: &str) -> Answer {
-        match self.find(id).await {
-            JobLookup::NeverAccepted => Ok(Response::error(422, reason)),
-            JobLookup::Unavailable(reason) => Err(reason),
-            JobLookup::Live(_) | JobLookup::Ended(_) => self.poll_known(id).await,
+        self.known_or(id, Response::error(422, reason)).await
+    }
+
+    /// A job's state if it was accepted, and otherwise the refusal.
+    async fn known_or(&self, id: &JobId, refusal: Response) -> Answer {
+        match self.poll_known(id).await {
+            Ok(unknown) if unknown.status == 404 => Ok(refusal),
+            answer => answer,
         }
     }
 
@@ -86,10 +89,7 @@
         let Some(id) = submitted_id(body) else {
             return Response::error(400, message);
         };
-        let answer = match self.poll_known(&id).await {
-            Ok(known) if known.status == 404 => Ok(Response::error(400, message)),
-            answer => answer,
-        };
+        let answer = self.known_or(&id, Response::error(400, message)).await;
         self.respond(&id, answer)
     }
 }
--- a/src/api/tests/busy_cluster.rs
+++ b/src/api/tests/busy_cluster.rs
@@ -12,7 +12,7 @@
 use crate::runtime::{self, Scope};
 use crate::store::rate_limiter::{RequestClass, TokenBucket};
 use crate::store::records::{FinalRecord, JobRecord};
-use crate::store::{Store, keys};
+use crate::store::{Store, TxnOutcome, keys};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -29,25 +29,12 @@
 const PLACEMENT_INTERVAL: Duration = Duration::from_millis(24);
 /// Ends of jobs that each controller writes.
 const END_INTERVAL: Duration = Duration::from_millis(500);
-/// What the store has counted.
-#[derive(Default)]
-pub(crate) struct StoreCounts {
-    /// Requests that it has served.
-    pub(crate) served: Cell<u64>,
-    /// Requests over its rate.
-    pub(crate) refused: Cell<u64>,
-    /// Ends of jobs that a controller's own limiter, or the store, has refused.
-    pub(crate) refused_ends: Cell<u64>,
-    /// Ends of jobs that were written.
-    pub(crate) ends: Cell<u64>,
-}
-
 /// The store, the controllers and their load.
 pub(crate) struct BusyCluster {
     /// What the store holds.
     pub(crate) state: Rc<RefCell<StandIn>>,
-    /// What it has counted.
-    pub(crate) counts: Rc<StoreCounts>,
+    /// Ends of jobs that were written.
+    pub(crate) written_ends: Rc<Cell<u64>>,
     /// The controllers.
     pub(crate) controllers: Vec<Rc<JobApi>>,
     started: Instant,
@@ -64,12 +51,11 @@
         config.state.least_rates = config.state.rates;
         let state = Rc::new(RefCell::new(StandIn::default()));
         store_jobs(&mut state.borrow_mut(), live, ended);
-        let counts = Rc::new(StoreCounts::default());
         let started = runtime::now();
-        let answers = rate_limited(state.clone(), counts.clone(), started);
+        let answers = rate_limited(state.clone(), started);
         let mut cluster = Self {
             state,
-            counts,
+            written_ends: Rc::default(),
             controllers: Vec::new(),
             started,
             load: Scope::default(),
@@ -101,7 +87,7 @@
         self.load.spawn(renew_lease(api.store.clone()));
         self.load.spawn(place(api.store.clone()));
         self.load
-            .spawn(end_jobs(api.store.clone(), self.counts.clone()));
+            .spawn(end_jobs(api.store.clone(), self.written_ends.clone()));
         self.controllers.push(api);
     }
 }
@@ -130,23 +116,13 @@
 }
 
 /// Answers for the store after its latency, or with 429 above its rate of requests.
-fn rate_limited(
-    state: Rc<RefCell<StandIn>>,
-    counts: Rc<StoreCounts>,
-    started: Instant,
-) -> HttpStandIn {
+fn rate_limited(state: Rc<RefCell<StandIn>>, started: Instant) -> HttpStandIn {
     let bucket = Rc::new(RefCell::new(TokenBucket::new(REQUESTS_PER_S)));
     Rc::new(move |request: Request| {
         let now = MonotonicTime((runtime::now() - started).as_millis() as u64);
         let admitted = bucket
             .borrow_mut()
             .try_acquire(now, 1.0, RequestClass::Accept);
-        let count = if admitted {
-            &counts.served
-        } else {
-            &counts.refused
-        };
-        count.set(count.get() + 1);
         let answer = match request.path.as_str() {
             _ if !admitted => Response::error(429, "too many requests"),
             path if path.starts_with("/grants") => Response::json(200, &()),
@@ -188,17 +164,15 @@
     }
 }
 
-/// Writes ends of jobs, and counts those that were refused.
-async fn end_jobs(store: Rc<Store>, counts: Rc<StoreCounts>) {
+/// Writes ends of jobs, and counts those that the store has taken.
+async fn end_jobs(store: Rc<Store>, written: Rc<Cell<u64>>) {
     let mut txn = Txn::default();
     txn.put("over/job-900000".to_owned(), &1, None);
     loop {
         runtime::sleep(END_INTERVAL).await;
         let outcome = store.txn(RequestClass::Accept, &txn).await;
-        let count = match outcome {
-            crate::store::TxnOutcome::Committed(_) => &counts.ends,
-            _ => &counts.refused_ends,
-        };
-        count.set(count.get() + 1);
+        if matches!(outcome, TxnOutcome::Committed(_)) {
+            written.set(written.get() + 1);
+        }
     }
 }
--- /dev/null
+++ b/src/api/waiting_questions/tests.rs
@@ -0,0 +1,58 @@
+use super::*;
+use crate::runtime::oneshot;
+
+fn add(waiting: &mut WaitingQuestions, at: u64, id: &str) -> bool {
+    let (question, _) = oneshot();
+    waiting.add(MonotonicTime(at), &id.into(), question)
+}
+
+/// The job to be read next, whose read begins.
+fn begin_next(waiting: &mut WaitingQuestions, at: u64) -> Option<JobId> {
+    let next = waiting.next(MonotonicTime(at))?;
+    waiting.begin(&next.job);
+    Some(next.job)
+}
+
+#[test]
+fn job_asked_about_first_is_read_first_while_its_user_waits() {
+    let mut waiting = WaitingQuestions::default();
+    assert!(add(&mut waiting, 0, "job-1") && add(&mut waiting, 300, "job-2"));
+    assert!(add(&mut waiting, 400, "job-3"));
+    assert_eq!(begin_next(&mut waiting, 500), Some("job-1".into()));
+    // The read was refused: the job keeps its rank, and waits for its user's next question.
+    waiting.put_back(&"job-1".into());
+    assert_eq!(begin_next(&mut waiting, 650), Some("job-2".into()));
+    assert!(add(&mut waiting, 700, "job-1"));
+    assert_eq!(
+        waiting.next(MonotonicTime(700)),
+        Some(NextRead {
+            job: "job-1".into(),
+            first_asked: MonotonicTime(0),
+        })
+    );
+    waiting.begin(&"job-1".into());
+    assert_eq!(begin_next(&mut waiting, 700), Some("job-3".into()));
+    assert_eq!(begin_next(&mut waiting, 700), None);
+}
+
+#[test]
+fn one_read_answers_all_users_of_a_job() {
+    let mut waiting = WaitingQuestions::default();
+    assert!(add(&mut waiting, 0, "job-1") && add(&mut waiting, 1, "job-1"));
+    assert_eq!(begin_next(&mut waiting, 2), Some("job-1".into()));
+    assert_eq!(begin_next(&mut waiting, 2), None);
+    assert!(add(&mut waiting, 3, "job-1"));
+    assert_eq!(waiting.finish(&"job-1".into()).len(), 3);
+    assert!(waiting.jobs.is_empty() && waiting.order.is_empty());
+}
+
+#[test]
+fn waiting_jobs_are_bounded_and_forgotten() {
+    let mut waiting = WaitingQuestions::default();
+    for n in 0..MAX_JOBS {
+        assert!(add(&mut waiting, 0, &format!("job-{n}")));
+    }
+    assert!(!add(&mut waiting, 1, "job-too-many"));
+    assert!(add(&mut waiting, FORGET_AFTER.0, "job-later"));
+    assert_eq!(waiting.jobs.len(), 1);
+}
--- a/src/runtime/channel.rs
+++ b/src/runtime/channel.rs
@@ -87,7 +87,14 @@
 
     /// The next value, if there is one.
     pub(crate) fn try_recv(&mut self) -> Option<T> {
-        self.0.borrow_mut().queue.pop_front()
+        self.try_recv_if(|_| true)
+    }
+
+    /// The next value, if there is one and it is accepted; otherwise it stays.
+    pub(crate) fn try_recv_if(&mut self, accept: impl FnOnce(&T) -> bool) -> Option<T> {
+        let mut shared = self.0.borrow_mut();
+        let accepted = shared.queue.front().is_some_and(accept);
+        accepted.then(|| shared.queue.pop_front()).flatten()
     }
 }
 
--- a/src/store/admission.rs
+++ b/src/store/admission.rs
@@ -70,6 +70,11 @@
         self.rate_selector.current(now)
     }
 
+    /// This controller's share of the requests in a second.
+    pub(super) fn own_request_rate(&self, now: MonotonicTime) -> f64 {
+        self.rates(now).requests * self.share
+    }
+
     /// The tokens that are left.
     pub(super) fn levels(&mut self, now: MonotonicTime) -> TokenLevels {
         TokenLevels {
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -19,6 +19,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+/// The status of a request beyond the rates.
+const TOO_MANY_REQUESTS: u16 = 429;
 /// Usual answers take some ms, a few take some hundred.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The service refuses larger transactions.
@@ -59,11 +61,11 @@
     /// Not sent: this controller's own rate limiter has no token for its class.
     #[error("held back by the rate limiter")]
     HeldBack,
-    /// The store has refused it: its rates are used up, or it does not serve this controller.
+    /// The store has refused it, since its rates are used up.
     #[error("refused by the key-value store")]
     Refused,
-    /// No answer, or one of an error.
-    #[error("the key-value store did not answer")]
+    /// No answer, or one that the store does not serve this controller, as in an outage.
+    #[error("the key-value store did not answer, or does not serve")]
     Unanswered,
     /// An answer that this program can't read.
     #[error("the answer of the key-value store can't be read")]
@@ -73,6 +75,10 @@
     Gone,
 }
 
+/// A token for the read of one record.
+#[derive(Debug)]
+pub(crate) struct ReadPermit(());
+
 /// The client of the service at one address.
 pub(crate) struct Store {
     client: Client,
@@ -156,6 +162,11 @@
         self.admission.borrow().rates(self.now())
     }
 
+    /// The requests that this controller may make in a second.
+    pub(crate) fn own_request_rate(&self) -> f64 {
+        self.admission.borrow().own_request_rate(self.now())
+    }
+
     fn try_admit(&self, class: RequestClass, changes: usize) -> bool {
         let mut admission = self.admission.borrow_mut();
         let admitted = admission.try_admit(self.now(), class, changes);
@@ -193,7 +204,7 @@
             self.failures.get().saturating_add(1)
         });
         match &result {
-            Ok(response) if response.status == 429 => {
+            Ok(response) if response.status == TOO_MANY_REQUESTS => {
                 self.counters.borrow_mut().refused += 1;
                 self.admission.borrow_mut().on_refused(self.now());
                 let levels = self.levels();
@@ -230,9 +241,21 @@
         class: RequestClass,
         key: &str,
     ) -> Result<Option<Item>, StoreError> {
-        if !self.try_admit(class, 0) {
-            return Err(StoreError::HeldBack);
-        }
+        let permit = self.admit_read(class).ok_or(StoreError::HeldBack)?;
+        self.get_admitted(permit, key).await
+    }
+
+    /// Takes a token for the read of one record, if its class has one.
+    pub(crate) fn admit_read(&self, class: RequestClass) -> Option<ReadPermit> {
+        self.try_admit(class, 0).then_some(ReadPermit(()))
+    }
+
+    /// Reads one record, if there is one, for a token that was taken.
+    pub(crate) async fn get_admitted(
+        &self,
+        _permit: ReadPermit,
+        key: &str,
+    ) -> Result<Option<Item>, StoreError> {
         let path = key_path(key);
         match self.call(Method::Get, &path, b"", CALL_TIMEOUT).await {
             Ok(answer) if answer.status == 200 => decode(&answer).map(Some),
@@ -308,9 +331,8 @@
 /// Why a call that has no usable result failed.
 fn failed_call(result: &Result<Response, Failure>) -> StoreError {
     match result {
-        Ok(response) if matches!(response.status, 400..=499 | 503) => StoreError::Refused,
-        Err(Failure::NotSent) => StoreError::Refused,
-        Ok(_) | Err(Failure::Unknown | Failure::TooLarge) => StoreError::Unanswered,
+        Ok(response) if response.status == TOO_MANY_REQUESTS => StoreError::Refused,
+        _ => StoreError::Unanswered,
     }
 }
 
