Rate limiter: placements leave what a refused end of a job needs

Cause: a class that comes first by name, but whose reserve was not sized for its requests. An end of a job takes two changes; placements left 5% of the bucket, at 10.8 changes a second half a change, and took each token before there were two.

Change: a bucket remembers for 1.5 s what a request of the class that users wait for was refused. Later classes leave so much until it is allowed. Nothing is lost: they take the rest.

--- a/src/store/rate_limiter.rs
+++ b/src/store/rate_limiter.rs
@@ -1,7 +1,11 @@
 //! Token buckets with classes of use: when more is asked for than the rates allow, leases and
 //! placements go on and the rest is refused at once.
 
-use crate::ids::MonotonicTime;
+use crate::ids::{Millis, MonotonicTime};
+
+/// A refused request that users wait for is made again within this: by the leader at once, by users
+/// after a second.
+const RETRIED_WITHIN: Millis = Millis(1500);
 
 /// What a call is for; earlier classes may use what later ones must leave.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
@@ -44,6 +48,15 @@
     /// Tokens in it; negative after more was spent than there were.
     level: f64,
     updated_at: MonotonicTime,
+    /// What was refused to the class that users wait for.
+    awaited: Option<AwaitedTokens>,
+}
+
+/// Tokens that a refused request needs when it is made again.
+#[derive(Clone, Copy, Debug)]
+struct AwaitedTokens {
+    amount: f64,
+    until: MonotonicTime,
 }
 
 impl TokenBucket {
@@ -55,6 +68,7 @@
             burst,
             level: burst,
             updated_at: MonotonicTime::default(),
+            awaited: None,
         }
     }
 
@@ -84,9 +98,38 @@
         if amount == 0.0 {
             return true;
         }
+        let needed = (amount + self.reserve(now, class)).min(self.burst);
+        let allowed = self.level(now) >= needed;
+        if class == RequestClass::Accept {
+            self.note_awaited(now, amount, allowed);
+        }
+        allowed
+    }
+
+    /// The tokens that a class leaves to those before it. A part of a small bucket may be less than
+    /// one of their requests needs: without what they wait for, smaller requests of this class would
+    /// take each token before there are enough.
+    fn reserve(&self, now: MonotonicTime, class: RequestClass) -> f64 {
         let reserve = class.reserve() * self.burst;
-        let needed = (amount + reserve).min(self.burst);
-        self.level(now) >= needed
+        match self.awaited {
+            Some(awaited) if class > RequestClass::Accept && now < awaited.until => {
+                reserve.max(awaited.amount)
+            }
+            _ => reserve,
+        }
+    }
+
+    /// Notes what a request needs that was refused, until it is allowed.
+    fn note_awaited(&mut self, now: MonotonicTime, amount: f64, allowed: bool) {
+        let awaited = self.awaited.filter(|awaited| now < awaited.until);
+        let awaited_amount = awaited.map_or(0.0, |awaited| awaited.amount);
+        self.awaited = match allowed {
+            true => awaited.filter(|awaited| awaited.amount > amount),
+            false => Some(AwaitedTokens {
+                amount: amount.max(awaited_amount),
+                until: now + RETRIED_WITHIN,
+            }),
+        };
     }
 
     /// Takes tokens out. The debt is bounded by one second's worth.
