Reads of final states: a question is not answered by a read that began before it

Questions share a read. One that came while it was under way could have seen just before that the live record is gone, and would then have taken "it has not ended", which was true when the read began, for "it was never accepted" or "it is live".

Change: a negative result answers only those who had asked when the read began; the others wait for the next read. A read that the store refused starts the admission of reads again. The token of a read is AdmittedRead.

--- a/src/api/final_state_reader.rs
+++ b/src/api/final_state_reader.rs
@@ -14,7 +14,7 @@
 use crate::runtime::{self, oneshot};
 use crate::store::rate_limiter::{RequestClass, TokenBucket};
 use crate::store::records::FinalRecord;
-use crate::store::{ReadPermit, Store, StoreError, keys};
+use crate::store::{AdmittedRead, Store, StoreError, keys};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -94,11 +94,16 @@
         {
             return Err(RetryReason::TooManyQuestions);
         }
+        self.ensure_admitting();
+        let result = runtime::timeout(MAX_WAIT.to_duration(), result.get()).await;
+        result.flatten().unwrap_or(Err(RetryReason::HeldBack))
+    }
+
+    /// Starts the routine that admits reads, unless it is running.
+    fn ensure_admitting(&self) {
         if !self.is_admitting.replace(true) {
             runtime::spawn(self.clone().admit_waiting());
         }
-        let result = runtime::timeout(MAX_WAIT.to_duration(), result.get()).await;
-        result.flatten().unwrap_or(Err(RetryReason::HeldBack))
     }
 
     /// Starts one read after another while any user waits.
@@ -109,9 +114,9 @@
                 break;
             };
             match self.admit(now, now.since(next.first_asked)) {
-                Some(permit) => {
+                Some(admitted) => {
                     self.waiting.borrow_mut().begin(&next.job);
-                    runtime::spawn(self.clone().read_admitted(permit, next.job));
+                    runtime::spawn(self.clone().read_admitted(admitted, next.job));
                 }
                 None => runtime::sleep(RETRY_DELAY).await,
             }
@@ -120,23 +125,23 @@
     }
 
     /// Takes a token for a job that has waited so long.
-    fn admit(&self, now: MonotonicTime, waited: Millis) -> Option<ReadPermit> {
-        if let Some(permit) = self.store.admit_read(RequestClass::Poll) {
-            return Some(permit);
+    fn admit(&self, now: MonotonicTime, waited: Millis) -> Option<AdmittedRead> {
+        if let Some(admitted) = self.store.admit_read(RequestClass::Poll) {
+            return Some(admitted);
         }
         let mut reserve = self.reserve.borrow_mut();
         reserve.set_rate(now, self.store.own_request_rate() * RESERVED_PART);
         if waited < RESERVE_AFTER || !reserve.allows(now, 1.0, RequestClass::Accept) {
             return None;
         }
-        let permit = self.store.admit_read(RequestClass::Accept)?;
+        let admitted = self.store.admit_read(RequestClass::Accept)?;
         reserve.spend(1.0);
-        Some(permit)
+        Some(admitted)
     }
 
-    async fn read_admitted(self, permit: ReadPermit, id: JobId) {
+    async fn read_admitted(self, admitted: AdmittedRead, id: JobId) {
         let key = keys::final_state(&id);
-        let result = match self.store.get_admitted(permit, &key).await {
+        let result = match self.store.get_admitted(admitted, &key).await {
             Ok(Some(item)) => serde_json::from_value(item.value)
                 .map(|record| Some(self.remember(&id, record, item.revision)))
                 .map_err(|_| RetryReason::Unreadable),
@@ -144,14 +149,18 @@
             // Its users wait on: it is read again as soon as it is admitted.
             Err(StoreError::Refused) => {
                 self.waiting.borrow_mut().put_back(&id);
+                self.ensure_admitting();
                 return;
             }
             Err(error) => Err(error.into()),
         };
         tracing::debug!(job = %id, ?result, "final state read");
-        for question in self.waiting.borrow_mut().finish(&id) {
+        let has_ended = matches!(result, Ok(Some(_)));
+        let answered = self.waiting.borrow_mut().finish(&id, has_ended);
+        for question in answered {
             question.send(result);
         }
+        self.ensure_admitting();
     }
 }
 
--- a/src/api/waiting_questions.rs
+++ b/src/api/waiting_questions.rs
@@ -27,6 +27,7 @@
 /// A job whose read is due.
 #[derive(Debug, PartialEq)]
 pub(super) struct NextRead {
+    /// The job.
     pub(super) job: JobId,
     /// Since when it was asked about without an answer.
     pub(super) first_asked: MonotonicTime,
@@ -38,7 +39,10 @@
     /// The latest question.
     asked_at: MonotonicTime,
     is_being_read: bool,
+    /// Who has asked since the read under way began, or has not been read for.
     questions: Vec<Sender<ReadResult>>,
+    /// Who had asked when the read under way began.
+    asked_before_read: Vec<Sender<ReadResult>>,
 }
 
 impl WaitingJob {
@@ -73,6 +77,7 @@
             asked_at: now,
             is_being_read: false,
             questions: vec![question],
+            asked_before_read: Vec::new(),
         };
         self.jobs.insert(id.clone(), job);
         self.order.push_back(id.clone());
@@ -96,6 +101,7 @@
     pub(super) fn begin(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.is_being_read = true;
+            job.asked_before_read = std::mem::take(&mut job.questions);
         }
     }
 
@@ -103,16 +109,27 @@
     pub(super) fn put_back(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.is_being_read = false;
+            job.questions.append(&mut job.asked_before_read);
         }
     }
 
-    /// A read is over. Returns who has asked.
-    pub(super) fn finish(&mut self, id: &JobId) -> Vec<Sender<ReadResult>> {
-        self.order.retain(|waiting| waiting != id);
-        self.jobs
-            .remove(id)
-            .map(|j| j.questions)
-            .unwrap_or_default()
+    /// A read is over. Returns whom its result answers. That a job has ended is true for ever; that
+    /// it has not may have changed for those who have asked since the read began: they wait for the
+    /// next one.
+    pub(super) fn finish(&mut self, id: &JobId, has_ended: bool) -> Vec<Sender<ReadResult>> {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return Vec::new();
+        };
+        job.is_being_read = false;
+        let mut answered = std::mem::take(&mut job.asked_before_read);
+        if has_ended {
+            answered.append(&mut job.questions);
+        }
+        if job.questions.is_empty() {
+            self.jobs.remove(id);
+            self.order.retain(|waiting| waiting != id);
+        }
+        answered
     }
 
     /// Drops the jobs at the front that nobody asks about any more.
--- a/src/api/waiting_questions/tests.rs
+++ b/src/api/waiting_questions/tests.rs
@@ -42,7 +42,7 @@
     assert_eq!(begin_next(&mut waiting, 2), Some("job-1".into()));
     assert_eq!(begin_next(&mut waiting, 2), None);
     assert!(add(&mut waiting, 3, "job-1"));
-    assert_eq!(waiting.finish(&"job-1".into()).len(), 3);
+    assert_eq!(waiting.finish(&"job-1".into(), true).len(), 3);
     assert!(waiting.jobs.is_empty() && waiting.order.is_empty());
 }
 
@@ -56,3 +56,17 @@
     assert!(add(&mut waiting, FORGET_AFTER.0, "job-later"));
     assert_eq!(waiting.jobs.len(), 1);
 }
+
+/// A job may end while it is read: who asks then has perhaps just seen that its live record is gone,
+/// and would take "it has not ended" for "it was never accepted".
+#[test]
+fn question_during_a_read_is_not_answered_by_its_negative_result() {
+    let mut waiting = WaitingQuestions::default();
+    assert!(add(&mut waiting, 0, "job-1"));
+    assert_eq!(begin_next(&mut waiting, 1), Some("job-1".into()));
+    assert!(add(&mut waiting, 2, "job-1"));
+    assert_eq!(waiting.finish(&"job-1".into(), false).len(), 1);
+    assert_eq!(begin_next(&mut waiting, 3), Some("job-1".into()));
+    assert_eq!(waiting.finish(&"job-1".into(), false).len(), 1);
+    assert_eq!(waiting.next(MonotonicTime(4)), None);
+}
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -77,7 +77,7 @@
 
 /// A token for the read of one record.
 #[derive(Debug)]
-pub(crate) struct ReadPermit(());
+pub(crate) struct AdmittedRead(());
 
 /// The client of the service at one address.
 pub(crate) struct Store {
@@ -241,19 +241,19 @@
         class: RequestClass,
         key: &str,
     ) -> Result<Option<Item>, StoreError> {
-        let permit = self.admit_read(class).ok_or(StoreError::HeldBack)?;
-        self.get_admitted(permit, key).await
+        let admitted = self.admit_read(class).ok_or(StoreError::HeldBack)?;
+        self.get_admitted(admitted, key).await
     }
 
     /// Takes a token for the read of one record, if its class has one.
-    pub(crate) fn admit_read(&self, class: RequestClass) -> Option<ReadPermit> {
-        self.try_admit(class, 0).then_some(ReadPermit(()))
+    pub(crate) fn admit_read(&self, class: RequestClass) -> Option<AdmittedRead> {
+        self.try_admit(class, 0).then_some(AdmittedRead(()))
     }
 
     /// Reads one record, if there is one, for a token that was taken.
     pub(crate) async fn get_admitted(
         &self,
-        _permit: ReadPermit,
+        _admitted: AdmittedRead,
         key: &str,
     ) -> Result<Option<Item>, StoreError> {
         let path = key_path(key);
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -17,5 +17,5 @@
 mod versioned;
 pub(crate) mod watch_cache;
 
-pub(crate) use client::{ReadPermit, Refusal, Store, StoreError, TxnOutcome};
+pub(crate) use client::{AdmittedRead, Refusal, Store, StoreError, TxnOutcome};
 pub(crate) use counters::ClassCounters;
