--- a/src/api/retry_reason.rs
+++ b/src/api/retry_reason.rs
@@ -11,13 +11,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Error, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum RetryReason {
-    /// The last calls of the store had no answer: nothing is asked of it for this request.
+    /// The store does not serve this controller, or could not be reached.
     #[error("the state service can't be reached")]
     StoreDown,
     /// This controller's rate limiter has no token for the request.
     #[error("too much is asked of the state service by this controller")]
     HeldBack,
-    /// The store has refused the request.
+    /// The store has refused the request, since its rates are used up.
     #[error("too much is asked of the state service")]
     StoreRefused,
     /// A request was sent, and its outcome is not known.
@@ -63,7 +63,9 @@
         match outcome {
             TxnOutcome::Committed(_) | TxnOutcome::Failed(..) => Self::NotTaken,
             TxnOutcome::Refused(Refusal::RateLimiter) => Self::HeldBack,
-            TxnOutcome::Refused(Refusal::Store) | TxnOutcome::Invalid => Self::StoreRefused,
+            TxnOutcome::Refused(Refusal::StoreRate) => Self::StoreRefused,
+            TxnOutcome::Refused(Refusal::StoreUnavailable) => Self::StoreDown,
+            TxnOutcome::Invalid => Self::NotTaken,
             TxnOutcome::Unknown => Self::StoreSilent,
         }
     }
--- a/src/simulation/effects.rs
+++ b/src/simulation/effects.rs
@@ -111,7 +111,7 @@
         } = request;
         let cut = self.nodes[caller.node].store_cut_until > self.now;
         let outcome = if (cut && answered) || !self.admits(caller.node, &requester, &txn) {
-            TxnOutcome::Refused(Refusal::Store)
+            TxnOutcome::Refused(Refusal::StoreUnavailable)
         } else {
             self.store.txn(&txn)
         };
--- a/src/simulation/models/store.rs
+++ b/src/simulation/models/store.rs
@@ -150,7 +150,7 @@
         }
         let lease_ended = |change: &Change| matches!(change, Change::Put { lease: Some(lease), .. } if !self.leases.contains_key(lease));
         if txn.changes.iter().any(lease_ended) {
-            return TxnOutcome::Refused(Refusal::Store);
+            return TxnOutcome::Refused(Refusal::StoreUnavailable);
         }
         if !txn.changes.is_empty() {
             self.revision.0 += 1;
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -35,8 +35,10 @@
 pub(crate) enum Refusal {
     /// This controller's rate limiter: it was not sent.
     RateLimiter,
-    /// The store, or it could not be sent there.
-    Store,
+    /// The store, since its rates are used up.
+    StoreRate,
+    /// The store does not serve this controller, or could not be reached.
+    StoreUnavailable,
 }
 
 /// What became of a transaction.
@@ -230,7 +232,7 @@
         let result = self.call(Method::Post, path::TXN, &body, CALL_TIMEOUT);
         match result.await {
             Ok(answer) => txn_outcome(&answer),
-            Err(Failure::NotSent) => TxnOutcome::Refused(Refusal::Store),
+            Err(Failure::NotSent) => TxnOutcome::Refused(Refusal::StoreUnavailable),
             Err(Failure::Unknown | Failure::TooLarge) => TxnOutcome::Unknown,
         }
     }
@@ -358,7 +360,10 @@
         }
         401..=499 | 503 => {
             tracing::debug!(body = %text(), "transaction refused");
-            TxnOutcome::Refused(Refusal::Store)
+            TxnOutcome::Refused(match answer.status {
+                TOO_MANY_REQUESTS => Refusal::StoreRate,
+                _ => Refusal::StoreUnavailable,
+            })
         }
         _ => TxnOutcome::Unknown,
     }
