Store client: outcomes and errors of calls in a file of their own

Change: TxnOutcome, Refusal, StoreError and what is concluded from an answer move to store::outcomes. No change of behaviour.

--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod keys;
 mod live_job;
 pub(crate) mod machine_record;
+mod outcomes;
 pub(crate) mod rate_limiter;
 mod rate_selector;
 pub(crate) mod records;
@@ -17,5 +18,6 @@
 mod versioned;
 pub(crate) mod watch_cache;
 
-pub(crate) use client::{AdmittedRead, Refusal, Store, StoreError, TxnOutcome};
+pub(crate) use client::{AdmittedRead, Store};
 pub(crate) use counters::ClassCounters;
+pub(crate) use outcomes::{Refusal, StoreError, TxnOutcome};
