--- a/src/store/outcomes.rs
+++ b/src/store/outcomes.rs
@@ -63,6 +63,7 @@
     }
 }
 
+/// Reads the body of an answer.
 pub(super) fn decode<T: DeserializeOwned>(answer: &Response) -> Result<T, StoreError> {
     serde_json::from_slice(&answer.body).map_err(|_| StoreError::Unreadable)
 }
