--- a/src/api/query/tests.rs
+++ b/src/api/query/tests.rs
@@ -257,8 +257,7 @@
 }
 
 impl Question {
-    /// Whether it begins with a write. Such a one can't be told from a new submission, so it is
-    /// admitted and refused like one, at once, and no time is promised for it under overload.
+    /// Whether it begins with a write: until then it can't be told from a new submission.
     fn begins_with_write(self) -> bool {
         matches!(self, Self::RepeatedSubmission | Self::DependentSubmission)
     }
@@ -285,11 +284,11 @@
     let ended_jobs = random.random_range(1..500);
     let outcome = ask_about_ended_jobs(load, &QUESTIONS, ended_jobs);
     let context = format!("seed {seed}: {load:?}, {ended_jobs} jobs, {outcome:?}");
-    let Outcome { live, ended, .. } = outcome;
-    assert!(live.longest_silence < FORGOTTEN_AFTER, "{context}");
-    assert!(ended.longest_silence < FORGOTTEN_AFTER, "{context}");
-    let written = outcome.begun_with_writes;
-    assert_eq!(ended.answered + written.answered, ended_jobs, "{context}");
+    for experience in [outcome.live, outcome.ended, outcome.begun_with_writes] {
+        assert!(experience.longest_silence < FORGOTTEN_AFTER, "{context}");
+    }
+    let answered = outcome.ended.answered + outcome.begun_with_writes.answered;
+    assert_eq!(answered, ended_jobs, "{context}");
 }
 
 #[test]
@@ -299,6 +298,14 @@
     }
 }
 
+/// Found by the search below: placements ask for more than there is, and the store is away for 8.5 of
+/// each 30 seconds. A repeated submission is refused at once like a new one, each time, for 86 s: by
+/// the outage, by the store's rate, or by the limiter at its write.
+#[test]
+fn repeated_submissions_are_answered_under_overload_and_outages() {
+    soak(1874);
+}
+
 #[test]
 #[ignore = "a search through many seeds, run by hand"]
 fn search_many_random_loads_for_unanswered_questions() {
