--- a/src/api/submit/tests.rs
+++ b/src/api/submit/tests.rs
@@ -1,3 +1,5 @@
+mod refused_writes;
+
 use crate::api::responses::RETRY_AFTER_S;
 use crate::api::tests::{Scene, body, job_state};
 use crate::runtime;
--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -1,18 +1,21 @@
 //! A stand-in of the key-value store and controllers that use it, for the tests of the API.
 
 pub(super) mod busy_cluster;
+pub(super) mod users;
 
 use super::{Cancellation, JobApi};
-use crate::config::Config;
 use crate::config::tests::sample_config;
+use crate::config::{Config, StateLimits};
 use crate::controller::Controller;
-use crate::http::{Method, Request, Response, serve};
-use crate::ids::{Incarnation, MonotonicTime, Revision};
-use crate::protocol::Catalog;
+use crate::http::{Client, Method, Request, Response, serve};
+use crate::ids::{Incarnation, JobId, MonotonicTime, Revision};
 use crate::protocol::store::Item;
-use crate::runtime::{Receiver, Scope, TcpListener, channel};
+use crate::protocol::{Catalog, JobState};
+use crate::runtime::{self, Receiver, Scope, TcpListener, channel, run_in_virtual_time};
+use crate::store::records::FinalRecord;
 use crate::store::watch_cache::WatchCache;
 use crate::store::{Store, keys};
+use serde::Serialize;
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -28,6 +31,20 @@
     .expect("catalog")
 }
 
+/// What becomes of transactions that change something.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) enum Writes {
+    /// They are carried out and answered.
+    #[default]
+    Answered,
+    /// They are refused, as beyond the rates.
+    Refused,
+    /// They are carried out, and the answer is lost.
+    AnswerLost,
+    /// They are not carried out yet, and not answered.
+    Delayed,
+}
+
 /// A key-value store that holds a few keys: enough for what the API asks of it.
 #[derive(Default)]
 pub(super) struct StandIn {
@@ -37,12 +54,16 @@
     pub(super) revision: u64,
     /// Answers every request with an error.
     pub(super) away: bool,
+    /// What becomes of changes.
+    pub(super) writes: Writes,
+    /// The next refused change is followed by this.
+    pub(super) after_refusal: Option<fn(&mut StandIn)>,
 }
 
 impl StandIn {
     pub(super) fn answer(&mut self, request: &Request) -> Response {
         if self.away {
-            return Response::error(503, "trouble");
+            Response::error(503, "trouble");
         }
         if request.method == Method::Get {
             let key = request.path.trim_start_matches("/kv/");
@@ -54,6 +75,25 @@
             };
         }
         let txn: Value = serde_json::from_slice(&request.body).expect("transaction");
+        let changes = txn["then"].as_array().is_some_and(|then| !then.is_empty());
+        match self.writes {
+            Writes::Refused if changes => {
+                if let Some(change) = self.after_refusal.take() {
+                    change(self);
+                }
+                Response::error(429, "too many changes")
+            }
+            Writes::Delayed if changes => Response::error(500, "no answer"),
+            Writes::AnswerLost if changes => {
+                self.execute(&txn);
+                Response::error(500, "no answer")
+            }
+            _ => self.execute(&txn),
+        }
+    }
+
+    /// Carries out a transaction if its conditions hold.
+    fn execute(&mut self, txn: &Value) -> Response {
         let list = |field: &str| txn[field].as_array().cloned().unwrap_or_default();
         let text = |v: &Value| v.as_str().expect("key").to_owned();
         let holds = |c: &Value| {
@@ -80,6 +120,20 @@
         }
         Response::json(200, &json!({"edition": self.revision}))
     }
+
+    /// Writes a record as somebody else's change.
+    pub(super) fn put(&mut self, key: String, record: &impl Serialize) {
+        self.revision += 1;
+        let value = serde_json::to_value(record).expect("json");
+        self.keys.insert(key, (value, self.revision));
+    }
+
+    /// Ends a job as somebody else's change.
+    pub(super) fn end(&mut self, id: &str, state: JobState) {
+        let id = JobId::from(id);
+        self.keys.remove(&keys::job(&id));
+        self.put(keys::final_state(&id), &FinalRecord { state, tasks: 1 });
+    }
 }
 
 /// A key-value store that controllers of a test share.
@@ -113,10 +167,7 @@
     /// types only with `types`.
     pub(super) fn api(&self, types: bool) -> (JobApi, Receiver<Cancellation>) {
         let config = sample_config();
-        let mut limits = config.state;
-        limits.rates.requests = 1e4;
-        limits.rates.changes = 1e4;
-        limits.least_rates = limits.rates;
+        let limits = generous_limits(&config);
         let store = Store::new(self.addr, &limits, 1.0, 1 << 20, Instant::now());
         controller_api(&config, store, types)
     }
@@ -127,6 +178,41 @@
     }
 }
 
+/// The API of a controller that has just started, with a key-value store in memory that answers at
+/// once: for tests in virtual time.
+pub(super) fn api_in_memory(state: &Rc<RefCell<StandIn>>) -> (JobApi, Receiver<Cancellation>) {
+    let config = sample_config();
+    let answering = state.clone();
+    let client = Client::answered_by(Rc::new(move |request: Request| {
+        let answer = answering.borrow_mut().answer(&request);
+        Box::pin(std::future::ready(answer))
+    }));
+    let limits = generous_limits(&config);
+    let store = Store::with_client(client, config.state_addr, &limits, 1.0, runtime::now());
+    controller_api(&config, store, true)
+}
+
+/// Limits that no test reaches.
+fn generous_limits(config: &Config) -> StateLimits {
+    let mut limits = config.state;
+    limits.rates.requests = 1e4;
+    limits.rates.changes = 1e4;
+    limits.least_rates = limits.rates;
+    limits
+}
+
+/// Runs a test in virtual time and returns what is to be judged: a panic inside the event loop would
+/// end the test process.
+pub(super) fn in_virtual_time<T: 'static>(test: impl Future<Output = T> + 'static) -> T {
+    let result = Rc::new(RefCell::new(None));
+    let shown = result.clone();
+    run_in_virtual_time(async move {
+        let value = test.await;
+        shown.replace(Some(value));
+    });
+    result.take().expect("the event loop has ended")
+}
+
 /// The API of a controller that has just started with a client of the key-value store.
 pub(super) fn controller_api(
     config: &Config,
--- a/src/api/tests/busy_cluster.rs
+++ b/src/api/tests/busy_cluster.rs
@@ -11,7 +11,7 @@
 use crate::protocol::store::Txn;
 use crate::runtime::{self, Scope};
 use crate::store::rate_limiter::{RequestClass, TokenBucket};
-use crate::store::records::{FinalRecord, JobRecord};
+use crate::store::records::JobRecord;
 use crate::store::{Store, TxnOutcome, keys};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -122,23 +122,13 @@
         let spec = crate::protocol::tests::submission(id.as_str()).to_string();
         let spec = crate::protocol::JobSpec::parse(spec.as_bytes()).expect("valid");
         let record = JobRecord::new(spec, crate::ids::UnixTime(1));
-        put(state, keys::job(id), &record);
+        state.put(keys::job(id), &record);
     }
     for id in ended {
-        let record = FinalRecord {
-            state: JobState::Done,
-            tasks: 1,
-        };
-        put(state, keys::final_state(id), &record);
+        state.end(id.as_str(), JobState::Done);
     }
 }
 
-fn put(state: &mut StandIn, key: String, record: &impl serde::Serialize) {
-    state.revision += 1;
-    let value = serde_json::to_value(record).expect("json");
-    state.keys.insert(key, (value, state.revision));
-}
-
 /// Answers for the store after its latency, or with 429 above its rate of requests.
 fn rate_limited(state: Rc<RefCell<StandIn>>, load: Load, started: Instant) -> HttpStandIn {
     let bucket = Rc::new(RefCell::new(TokenBucket::new(REQUESTS_PER_S)));
