Submissions whose write is refused: the job is looked up like a poll's

Cause: a submission's only way to learn that its job is known was the write that would accept it; a refused write ended the request.

Change: if the write is refused, or its outcome is not known, the job is looked up like a poll's: compared in a batch that rises in request class, its final record read with the reserve. What is found missing then means to come back, never more. A store that is down is not asked once more.

--- a/src/api/cancel.rs
+++ b/src/api/cancel.rs
@@ -1,6 +1,7 @@
 //! Cancellations of jobs.
 
 use super::job_api::{Answer, JobApi};
+use super::query::KnownJob;
 use super::responses::no_such_job;
 use super::retry_reason::RetryReason;
 use crate::http::Response;
@@ -9,7 +10,7 @@
 use crate::protocol::{JobState, valid_job_id};
 use crate::store::rate_limiter::RequestClass;
 use crate::store::records::{FinalRecord, JobRecord};
-use crate::store::{TxnOutcome, keys};
+use crate::store::{StoreError, TxnOutcome, keys};
 use std::time::Instant;
 
 impl JobApi {
@@ -31,12 +32,26 @@
         if !self.store.is_up() {
             return Err(RetryReason::StoreDown);
         }
-        if let Some(item) = self.store.get(RequestClass::Accept, &keys::job(id)).await? {
-            return self.cancel_live(id, item).await;
+        match self.store.get(RequestClass::Accept, &keys::job(id)).await {
+            Ok(Some(item)) => self.cancel_live(id, item).await,
+            Ok(None) => match self.final_states.read(id).await? {
+                Some(final_state) => self.settled_status(id, final_state, None).await,
+                None => Ok(no_such_job()),
+            },
+            Err(error @ (StoreError::HeldBack | StoreError::Refused)) => {
+                self.cancel_unread(id, error.into()).await
+            }
+            Err(error) => Err(error.into()),
         }
-        match self.final_states.read(id).await? {
-            Some(final_state) => self.settled_status(id, final_state, None).await,
-            None => Ok(no_such_job()),
+    }
+
+    /// The answer for a job whose read was refused, so that it can't be cancelled now. One that
+    /// has ended needs no write: its user has the right to an answer that a poll has.
+    async fn cancel_unread(&self, id: &JobId, reason: RetryReason) -> Answer {
+        match self.known_job(id).await? {
+            KnownJob::Ended(final_state) => self.settled_status(id, final_state, None).await,
+            KnownJob::NeverAccepted => Ok(no_such_job()),
+            KnownJob::Live => Err(reason),
         }
     }
 
--- a/src/api/dependencies.rs
+++ b/src/api/dependencies.rs
@@ -21,6 +21,9 @@
 
 /// How often dependencies are looked up while they go on changing.
 const MAX_ATTEMPTS: usize = 4;
+/// How long all lookups of a submission may take: users wait for five seconds, and after a lookup
+/// without a result the job itself is asked for.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(1500);
 /// How long a user's request waits for dependents to be cancelled; a poll waits for two seconds.
 const CASCADE_TIMEOUT: Duration = Duration::from_millis(600);
 /// How often the watch cache is checked for what a cascade waits for.
@@ -32,17 +35,20 @@
         let id = spec.id.clone();
         // An earlier version would start the job at once.
         if !self.controller.borrow().cache.all_know_dependencies() {
-            return Err(RetryReason::EarlierVersion);
+            return self.status_or_retry(&id, RetryReason::EarlierVersion).await;
         }
         let mut changed = BTreeSet::new();
         for _ in 0..MAX_ATTEMPTS {
-            let dependencies = self.look_up(&spec, &changed).await;
+            let looked_up = self.look_up(&spec, &changed);
+            let Some(dependencies) = runtime::timeout(LOOKUP_TIMEOUT, looked_up).await else {
+                return self.dependencies_unread(&id).await;
+            };
             if let Dependencies::Refused(reason) = &dependencies {
                 return self.refuse(&id, &reason.to_string()).await;
             }
             let ops = self.config.state.txn_ops;
             let Some((txn, state)) = dependencies.accept(&spec, UnixTime::now(), ops) else {
-                return Err(RetryReason::DependenciesUnread);
+                return self.dependencies_unread(&id).await;
             };
             match self.store.txn(RequestClass::Accept, &txn).await {
                 TxnOutcome::Committed(_) => return Ok(job_status(201, &id, state, None)),
@@ -55,11 +61,24 @@
                     let stale = dependencies.filter(|d| failed.contains(&keys::job(d)));
                     changed.extend(stale.cloned());
                 }
-                // If it is not known, it may be accepted already; a retry shows it.
-                outcome => return Err(RetryReason::of_txn(&outcome)),
+                outcome => {
+                    let reason = RetryReason::of_txn(&outcome);
+                    return self.status_or_retry(&id, reason).await;
+                }
             }
         }
-        Err(RetryReason::DependenciesChanging)
+        self.status_or_retry(&id, RetryReason::DependenciesChanging)
+            .await
+    }
+
+    /// The answer to a submission whose dependencies could not be looked up. A store that does not answer
+    /// is not asked once more.
+    async fn dependencies_unread(&self, id: &JobId) -> Answer {
+        let reason = RetryReason::DependenciesUnread;
+        match self.store.is_answering() {
+            true => self.status_or_retry(id, reason).await,
+            false => Err(reason),
+        }
     }
 
     /// Looks all dependencies up. What the watch cache shows of those that have `changed` is known
--- a/src/api/query.rs
+++ b/src/api/query.rs
@@ -12,6 +12,17 @@
 use crate::store::keys;
 use std::time::Instant;
 
+/// What is on record of an id, as validated against the key-value store.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum KnownJob {
+    /// A job that was accepted and has not ended.
+    Live,
+    /// A job that has ended.
+    Ended(FinalState),
+    /// Nothing: no job was accepted under it.
+    NeverAccepted,
+}
+
 impl JobApi {
     /// Answers a user's poll.
     pub(crate) async fn poll(&self, id: &str) -> Response {
@@ -19,14 +30,41 @@
             return no_such_job();
         }
         let id = JobId::from(id);
-        let answer = self.poll_known(&id).await;
+        let answer = self.status_or(&id, no_such_job()).await;
         self.respond(&id, answer)
     }
 
-    /// Answers a job's state, as validated against the key-value store.
-    pub(super) async fn poll_known(&self, id: &JobId) -> Answer {
+    /// A job's state if it was accepted, and otherwise the other response.
+    pub(super) async fn status_or(&self, id: &JobId, otherwise: Response) -> Answer {
+        let status = self.known_status(id).await?;
+        Ok(status.unwrap_or(otherwise))
+    }
+
+    /// A job's state if it was accepted, and otherwise why its user has to come back. Never more than
+    /// that: a write without an answer may still be carried out.
+    pub(super) async fn status_or_retry(&self, id: &JobId, reason: RetryReason) -> Answer {
+        if reason == RetryReason::StoreDown {
+            return Err(reason);
+        }
+        self.known_status(id).await?.ok_or(reason)
+    }
+
+    /// A job's state; `None`: no job was accepted under this id.
+    async fn known_status(&self, id: &JobId) -> Result<Option<Response>, RetryReason> {
+        match self.known_job(id).await? {
+            KnownJob::Live => Ok(Some(self.live_status(id))),
+            KnownJob::Ended(final_state) => {
+                let status = self.settled_status(id, final_state, None).await?;
+                Ok(Some(status))
+            }
+            KnownJob::NeverAccepted => Ok(None),
+        }
+    }
+
+    /// What is on record of an id. It takes no write, and rises in request class while it is refused.
+    pub(super) async fn known_job(&self, id: &JobId) -> Result<KnownJob, RetryReason> {
         if let Some(final_state) = self.cached_final_state(id) {
-            return self.settled_status(id, final_state, None).await;
+            return Ok(KnownJob::Ended(final_state));
         }
         if !self.store.is_up() {
             return Err(RetryReason::StoreDown);
@@ -36,33 +74,32 @@
             controller.cache.job_revision(id)
         };
         match self.revision_checker.check(id, cached).await {
-            StoredJob::Live => Ok(self.live_status(id)),
-            StoredJob::Ended => self.ended_status(id).await,
+            StoredJob::Live => Ok(KnownJob::Live),
+            StoredJob::Ended => Ok(KnownJob::Ended(self.read_ended(id).await?)),
             // It has ended, or it was released: its record is only ever deleted with the final
             // record's write, so a job without that one is live.
-            StoredJob::Changed => match self.final_states.read(id).await? {
-                Some(final_state) => self.settled_status(id, final_state, None).await,
-                None => Ok(self.live_status(id)),
-            },
-            StoredJob::NeverAccepted => Ok(no_such_job()),
+            StoredJob::Changed => Ok(match self.final_states.read(id).await? {
+                Some(final_state) => KnownJob::Ended(final_state),
+                None => KnownJob::Live,
+            }),
+            StoredJob::NeverAccepted => Ok(KnownJob::NeverAccepted),
             StoredJob::Unknown(reason) => Err(reason),
         }
     }
 
-    /// The answer for a job whose final record exists.
-    async fn ended_status(&self, id: &JobId) -> Answer {
-        match self.final_states.read(id).await? {
-            Some(final_state) => self.settled_status(id, final_state, None).await,
-            None => Err(RetryReason::Unreadable),
-        }
+    /// How a job ended whose final record exists.
+    async fn read_ended(&self, id: &JobId) -> Result<FinalState, RetryReason> {
+        let final_state = self.final_states.read(id).await?;
+        final_state.ok_or(RetryReason::Unreadable)
     }
 
     /// The answer for a job that was not accepted since records of it exist: those under `found`.
     pub(super) async fn found_status(&self, id: &JobId, found: &[String]) -> Answer {
-        if found.contains(&keys::final_state(id)) {
-            return self.ended_status(id).await;
+        if !found.contains(&keys::final_state(id)) {
+            return Ok(self.live_status(id));
         }
-        Ok(self.live_status(id))
+        let final_state = self.read_ended(id).await?;
+        self.settled_status(id, final_state, None).await
     }
 
     /// Counts are for display: they are the watch cache's.
--- a/src/api/submit.rs
+++ b/src/api/submit.rs
@@ -3,7 +3,7 @@
 use super::dependencies::new_job;
 use super::feasibility;
 use super::job_api::{Answer, JobApi};
-use super::responses::job_status;
+use super::responses::{job_status, no_such_job};
 use super::retry_reason::RetryReason;
 use crate::http::Response;
 use crate::ids::{JobId, UnixTime};
@@ -28,7 +28,7 @@
     async fn submit_valid(&self, spec: JobSpec) -> Answer {
         let id = spec.id.clone();
         if self.is_known(&id) {
-            return self.poll_known(&id).await;
+            return self.status_or(&id, no_such_job()).await;
         }
         if !self.store.is_up() {
             return Err(RetryReason::StoreDown);
@@ -65,23 +65,19 @@
         match self.store.txn(RequestClass::Accept, &txn).await {
             TxnOutcome::Committed(_) => Ok(job_status(201, &id, JobState::Queued, None)),
             TxnOutcome::Failed(failed, _) => self.found_status(&id, &failed).await,
-            // If it is not known, it may be accepted already; a retry shows it.
-            outcome => Err(RetryReason::of_txn(&outcome)),
+            // The job may be known all the same: its retry has the right to an answer that its poll
+            // has.
+            outcome => {
+                let reason = RetryReason::of_txn(&outcome);
+                self.status_or_retry(&id, reason).await
+            }
         }
     }
 
     /// Refuses a submission for good. What was accepted once is never refused later, whatever has
     /// changed since.
     pub(super) async fn refuse(&self, id: &JobId, reason: &str) -> Answer {
-        self.known_or(id, Response::error(422, reason)).await
-    }
-
-    /// A job's state if it was accepted, and otherwise the refusal.
-    async fn known_or(&self, id: &JobId, refusal: Response) -> Answer {
-        match self.poll_known(id).await {
-            Ok(unknown) if unknown.status == 404 => Ok(refusal),
-            answer => answer,
-        }
+        self.status_or(id, Response::error(422, reason)).await
     }
 
     /// What was accepted once is known, whatever its retry lacks.
@@ -89,7 +85,7 @@
         let Some(id) = submitted_id(body) else {
             return Response::error(400, message);
         };
-        let answer = self.known_or(&id, Response::error(400, message)).await;
+        let answer = self.status_or(&id, Response::error(400, message)).await;
         self.respond(&id, answer)
     }
 }
--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -58,12 +58,19 @@
     pub(super) writes: Writes,
     /// The next refused change is followed by this.
     pub(super) after_refusal: Option<fn(&mut StandIn)>,
+    /// So many of the next reads are refused, as beyond the rates.
+    pub(super) refused_reads: u32,
+    delayed: Vec<Value>,
 }
 
 impl StandIn {
     pub(super) fn answer(&mut self, request: &Request) -> Response {
         if self.away {
-            Response::error(503, "trouble");
+            return Response::error(503, "trouble");
+        }
+        if request.method == Method::Get && self.refused_reads > 0 {
+            self.refused_reads -= 1;
+            return Response::error(429, "too many requests");
         }
         if request.method == Method::Get {
             let key = request.path.trim_start_matches("/kv/");
@@ -83,7 +90,10 @@
                 }
                 Response::error(429, "too many changes")
             }
-            Writes::Delayed if changes => Response::error(500, "no answer"),
+            Writes::Delayed if changes => {
+                self.delayed.push(txn);
+                Response::error(500, "no answer")
+            }
             Writes::AnswerLost if changes => {
                 self.execute(&txn);
                 Response::error(500, "no answer")
@@ -121,6 +131,13 @@
         Response::json(200, &json!({"edition": self.revision}))
     }
 
+    /// Carries out the changes that were delayed.
+    pub(super) fn execute_delayed(&mut self) {
+        for txn in std::mem::take(&mut self.delayed) {
+            self.execute(&txn);
+        }
+    }
+
     /// Writes a record as somebody else's change.
     pub(super) fn put(&mut self, key: String, record: &impl Serialize) {
         self.revision += 1;
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -90,6 +90,11 @@
         self.failures.get() < DOWN_AFTER_FAILURES
     }
 
+    /// Whether the last call was answered.
+    pub(crate) fn is_answering(&self) -> bool {
+        self.failures.get() == 0
+    }
+
     /// What was counted of the calls.
     pub(crate) fn counters(&self) -> Ref<'_, Counters> {
         self.counters.borrow()
