Final states: one request reads a page for all whose users wait

Symptom: of 3,000 users who ask about ended jobs at once the last waits 76.8 s.

Cause: one request read one job. 3,019 reads were answered, 498 refused (429), 19 jobs read at two controllers, none for nobody: 39 reads a second, which is what the reserve allows. A page of the key-value store (GET /kv with prefix, after and most) costs one request and holds up to a thousand records.

Change: where users of four jobs or more wait that may be on it, a read is the page that begins with the job that has waited longest. It answers those whose jobs are on it, those that it covers without a record have not ended, the others wait on; what nobody asked for is kept for later questions. Fewer waiting users are read as before, so a quiet hour costs the same.

--- a/src/api/final_state_reader.rs
+++ b/src/api/final_state_reader.rs
@@ -2,20 +2,26 @@
 //! for longest comes first.
 //!
 //! A question about an ended job has the same right to an answer as one about a live job, whose
-//! comparison is tried again with more and more of the rate limit. Reads can't be batched, so a part
-//! of the rate is reserved for them instead: a question that waits may use it ahead of placements,
-//! and no number of questions takes more than that part from placements and ends of jobs.
+//! comparison is tried again with more and more of the rate limit. A part of the rate is reserved for
+//! reads: a question that waits may use it ahead of placements, and no number of questions takes more
+//! than that part from placements and ends of jobs.
+//!
+//! Where users of several jobs wait, one request reads a page of final states that begins with the job
+//! that has waited longest. It answers all whose jobs are on it, and the rest is kept for later
+//! questions.
 
 use super::final_state::{FinalState, FinalStateCache};
 use super::retry_reason::RetryReason;
 use super::waiting_questions::{MAX_WAIT, ReadResult, WaitingQuestions};
 use crate::ids::{JobId, Millis, MonotonicTime, Revision};
 use crate::protocol::JobState;
+use crate::protocol::store::{Item, Page};
 use crate::runtime::{self, oneshot};
 use crate::store::rate_limiter::{RequestClass, TokenBucket};
 use crate::store::records::FinalRecord;
 use crate::store::{AdmittedRead, Store, StoreError, keys};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,6 +34,10 @@
 const URGENT_AFTER: Millis = Millis(15_000);
 /// A question may use the reserve once it has waited so long.
 const RESERVE_AFTER: Millis = Millis(200);
+/// A page is read once users of so many jobs wait that may be on it. Below that a record costs less.
+const PAGE_FROM_JOBS: usize = 4;
+/// The final states on a page: about 40 kB, and less than a millisecond to read.
+const PAGE_ITEMS: usize = 500;
 /// How often a read that is held back is tried again.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -119,10 +129,7 @@
                 break;
             };
             match self.admit(now, now.since(next.first_asked)) {
-                Some(admitted) => {
-                    self.waiting.borrow_mut().begin(&next.job);
-                    runtime::spawn(self.clone().read_admitted(admitted, next.job));
-                }
+                Some(admitted) => self.begin_read(now, admitted, next.job),
                 None => runtime::sleep(RETRY_DELAY).await,
             }
         }
@@ -148,28 +155,124 @@
         Some(admitted)
     }
 
-    async fn read_admitted(self, admitted: AdmittedRead, id: JobId) {
+    /// Starts the read of a job, or of the page that begins with it.
+    fn begin_read(&self, now: MonotonicTime, admitted: AdmittedRead, first: JobId) {
+        let mut waiting = self.waiting.borrow_mut();
+        let jobs = waiting.awaited_from(now, &first, PAGE_ITEMS);
+        if jobs.len() < PAGE_FROM_JOBS {
+            waiting.begin(&first);
+            runtime::spawn(self.clone().read_record(admitted, first));
+            return;
+        }
+        for job in &jobs {
+            waiting.begin(job);
+        }
+        runtime::spawn(self.clone().read_page(admitted, first, jobs));
+    }
+
+    async fn read_record(self, admitted: AdmittedRead, id: JobId) {
         let key = keys::final_state(&id);
-        let result = match self.store.get_admitted(admitted, &key).await {
-            Ok(Some(item)) => serde_json::from_value(item.value)
-                .map(|record| Some(self.remember(&id, record, item.revision)))
-                .map_err(|_| RetryReason::Unreadable),
-            Ok(None) => Ok(None),
-            // Its users wait on: it is read again as soon as it is admitted.
-            Err(StoreError::Refused) => {
-                self.waiting.borrow_mut().put_back(&id);
-                self.ensure_admitting();
-                return;
+        match self.store.get_admitted(admitted, &key).await {
+            Ok(item) => self.answer(&id, self.decode_item(&id, item)),
+            Err(error) => self.on_failed_read(&[id], error),
+        }
+        self.ensure_admitting();
+    }
+
+    /// Reads the page that begins with the first of these jobs, which are in the order of their ids.
+    async fn read_page(self, admitted: AdmittedRead, first: JobId, jobs: Vec<JobId>) {
+        let after = keys::before_final_state(&first);
+        let page = self
+            .store
+            .page_admitted(admitted, keys::FINAL_STATES, &after, PAGE_ITEMS);
+        match page.await {
+            Ok(page) => self.on_page(&jobs, page),
+            Err(error) => self.on_failed_read(&jobs, error),
+        }
+        self.ensure_admitting();
+    }
+
+    /// Answers the jobs that a page covers. The others wait on.
+    fn on_page(&self, jobs: &[JobId], page: Page) {
+        let end = PageEnd::of(&page);
+        let mut results: BTreeMap<JobId, ReadResult> = BTreeMap::new();
+        for item in page.items {
+            if let Some(id) = keys::job_of_final_state(&item.key) {
+                let result = self.decode_item(&id, Some(item));
+                results.insert(id, result);
+            }
+        }
+        for (position, id) in jobs.iter().enumerate() {
+            match results.get(id) {
+                Some(result) => self.answer(id, *result),
+                None if end.covers(id) => self.answer(id, Ok(None)),
+                // A page that does not even cover the job with which it begins.
+                None if position == 0 => self.answer(id, Err(RetryReason::Unreadable)),
+                None => self.waiting.borrow_mut().put_back(id),
             }
-            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// The result of a read of one record, which is kept if there is one.
+    fn decode_item(&self, id: &JobId, item: Option<Item>) -> ReadResult {
+        let Some(item) = item else {
+            return Ok(None);
         };
+        if let Some(final_state) = self.cached(id) {
+            return Ok(Some(final_state));
+        }
+        serde_json::from_value(item.value)
+            .map(|record| Some(self.remember(id, record, item.revision)))
+            .map_err(|_| RetryReason::Unreadable)
+    }
+
+    /// What the users of these jobs are told of a read without a result.
+    fn on_failed_read(&self, jobs: &[JobId], error: StoreError) {
+        for id in jobs {
+            match error {
+                // Its users wait on: it is read again as soon as it is admitted.
+                StoreError::Refused => self.waiting.borrow_mut().put_back(id),
+                error => self.answer(id, Err(error.into())),
+            }
+        }
+    }
+
+    /// Answers the users of a job that was read.
+    fn answer(&self, id: &JobId, result: ReadResult) {
         tracing::debug!(job = %id, ?result, "final state read");
         let has_ended = matches!(result, Ok(Some(_)));
-        let answered = self.waiting.borrow_mut().finish(&id, has_ended);
+        let answered = self.waiting.borrow_mut().finish(id, has_ended);
         for question in answered {
             question.send(result);
         }
-        self.ensure_admitting();
+    }
+}
+
+/// How far a page goes.
+enum PageEnd {
+    /// To the end of all final states.
+    All,
+    /// To this key; `None`: it is empty although there is more.
+    Key(Option<String>),
+}
+
+impl PageEnd {
+    fn of(page: &Page) -> Self {
+        match page.more {
+            true => Self::Key(page.items.last().map(|item| item.key.clone())),
+            false => Self::All,
+        }
+    }
+
+    /// Whether a job's final state would be on the page if there were one; it does not come before the
+    /// page.
+    fn covers(&self, id: &JobId) -> bool {
+        match self {
+            Self::All => true,
+            Self::Key(last) => last
+                .as_ref()
+                .is_some_and(|last| keys::final_state(id) <= *last),
+        }
     }
 }
 
--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -20,6 +20,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -72,6 +73,9 @@
             self.refused_reads -= 1;
             return Response::error(429, "too many requests");
         }
+        if let Some(query) = request.path.strip_prefix("/kv?") {
+            return self.page(query);
+        }
         if request.method == Method::Get {
             let key = request.path.trim_start_matches("/kv/");
             return match self.keys.get(key) {
@@ -102,6 +106,28 @@
         }
     }
 
+    /// Answers with the keys under a prefix that follow another.
+    fn page(&self, query: &str) -> Response {
+        let fields: BTreeMap<&str, &str> = query
+            .split('&')
+            .filter_map(|field| field.split_once('='))
+            .collect();
+        let after = fields["after"].to_owned();
+        let most: usize = fields["most"].parse().expect("number");
+        let following = self
+            .keys
+            .range((Bound::Excluded(after), Bound::Unbounded))
+            .filter(|(key, _)| key.starts_with(fields["prefix"]));
+        let mut items: Vec<Value> = following
+            .take(most + 1)
+            .map(|(key, (value, at))| json!({"key": key, "data": value, "amendment": at}))
+            .collect();
+        let more = items.len() > most;
+        items.truncate(most);
+        let page = json!({"items": items, "has_next": more, "edition": self.revision});
+        Response::json(200, &page)
+    }
+
     /// Carries out a transaction if its conditions hold.
     fn execute(&mut self, txn: &Value) -> Response {
         let list = |field: &str| txn[field].as_array().cloned().unwrap_or_default();
--- a/src/api/waiting_questions.rs
+++ b/src/api/waiting_questions.rs
@@ -97,6 +97,22 @@
         })
     }
 
+    /// The jobs whose users wait, from a job on in the order of their ids: what a page that begins
+    /// there may hold.
+    pub(super) fn awaited_from(
+        &self,
+        now: MonotonicTime,
+        first: &JobId,
+        max_jobs: usize,
+    ) -> Vec<JobId> {
+        let following = self.jobs.range(first..);
+        following
+            .filter(|(_, job)| !job.is_being_read && job.is_awaited(now))
+            .map(|(id, _)| id.clone())
+            .take(max_jobs)
+            .collect()
+    }
+
     /// A read of the job begins.
     pub(super) fn begin(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get_mut(id) {
--- a/src/protocol/store.rs
+++ b/src/protocol/store.rs
@@ -178,10 +178,13 @@
     format!("{}/{key}", super::path::KV)
 }
 
-/// The path of the page of keys under a prefix that follows a key; `None`: the first page.
-pub(crate) fn page_path(prefix: &str, after: Option<&str>) -> String {
+/// The most items that the store puts on a page.
+pub(crate) const MAX_PAGE_ITEMS: usize = 1000;
+
+/// The path of the page of so many keys under a prefix that follows a key; `None`: the first page.
+pub(crate) fn page_path(prefix: &str, after: Option<&str>, max_items: usize) -> String {
     let tail = after.map_or_else(String::new, |a| format!("&after={a}"));
-    format!("{}?prefix={prefix}{tail}&most=1000", super::path::KV)
+    format!("{}?prefix={prefix}{tail}&most={max_items}", super::path::KV)
 }
 
 /// The path of a watch of the changes under a prefix after a revision. The store waits up to
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -13,8 +13,8 @@
 use crate::ids::{LeaseId, MonotonicTime, Revision};
 use crate::protocol::path;
 use crate::protocol::store::{
-    Events, Item, Lease, Page, Txn, key_path, lease_path, lease_request, page_path, renewal_path,
-    watch_path,
+    Events, Item, Lease, MAX_PAGE_ITEMS, Page, Txn, key_path, lease_path, lease_request, page_path,
+    renewal_path, watch_path,
 };
 use crate::runtime;
 use std::cell::{Cell, Ref, RefCell};
@@ -30,7 +30,7 @@
 /// The least part of the longest delay between two watch requests.
 const MIN_WATCH_DELAY_FRACTION: f64 = 0.25;
 
-/// A token for the read of one record.
+/// A token for one read: of a record, or of a page of them.
 #[derive(Debug)]
 pub(crate) struct AdmittedRead(());
 
@@ -205,7 +205,7 @@
         self.get_admitted(admitted, key).await
     }
 
-    /// Takes a token for the read of one record, if its class has one.
+    /// Takes a token for one read, if its class has one.
     pub(crate) fn admit_read(&self, class: RequestClass) -> Option<AdmittedRead> {
         self.try_admit(class, 0).then_some(AdmittedRead(()))
     }
@@ -224,10 +224,26 @@
         }
     }
 
+    /// Reads the first so many records under a prefix that follow the key `after`, for a token that
+    /// was taken.
+    pub(crate) async fn page_admitted(
+        &self,
+        _admitted: AdmittedRead,
+        prefix: &str,
+        after: &str,
+        max_items: usize,
+    ) -> Result<Page, StoreError> {
+        let path = page_path(prefix, Some(after), max_items);
+        match self.call(Method::Get, &path, b"", CALL_TIMEOUT).await {
+            Ok(answer) if answer.status == 200 => decode(&answer),
+            result => Err(failed_call(&result)),
+        }
+    }
+
     /// Reads a page of the records under a prefix, behind the key `after`.
     pub(crate) async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
         self.admit_lease_request();
-        let path = page_path(prefix, after);
+        let path = page_path(prefix, after, MAX_PAGE_ITEMS);
         match self.call(Method::Get, &path, b"", 2 * CALL_TIMEOUT).await {
             Ok(answer) if answer.status == 200 => decode(&answer),
             result => Err(failed_call(&result)),
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -11,6 +11,11 @@
 /// The administrators' settings.
 pub(crate) const SETTINGS: &str = "live/settings";
 
+/// The prefix of all final states.
+pub(crate) const FINAL_STATES: &str = "over/";
+
+/// A mark that follows all digits in the order of keys.
+const AFTER_DIGITS: char = ':';
 const MEMBER: &str = "live/cluster/member/";
 const SHARD: &str = "live/cluster/block/";
 const JOB: &str = "live/job/";
@@ -60,7 +65,24 @@
 
 /// Where a finished or cancelled job's final state is kept for good.
 pub(crate) fn final_state(job: &JobId) -> String {
-    format!("over/{job}")
+    format!("{FINAL_STATES}{job}")
+}
+
+/// The job whose final state a key names.
+pub(crate) fn job_of_final_state(key: &str) -> Option<JobId> {
+    key.strip_prefix(FINAL_STATES).map(JobId::from)
+}
+
+/// A text after which no key of a final state comes before that of the job: ids end with a digit, and
+/// the mark follows all digits.
+pub(crate) fn before_final_state(job: &JobId) -> String {
+    let mut key = final_state(job);
+    if let Some(last) = key.pop() {
+        let previous = char::from_u32(u32::from(last).saturating_sub(1));
+        key.extend(previous);
+    }
+    key.push(AFTER_DIGITS);
+    key
 }
 
 /// Names one segment of a job's completion counter.
--- a/src/store/keys/tests.rs
+++ b/src/store/keys/tests.rs
@@ -18,3 +18,23 @@
     assert_eq!(LiveKey::parse(LEADER), Some(LiveKey::Leader));
     assert_eq!(LiveKey::parse(&final_state(&id)), None);
 }
+
+#[test]
+fn page_after_the_mark_begins_with_the_final_state_of_the_job() {
+    let ids = [
+        "job-1", "job-10", "job-109", "job-1099", "job-11", "job-2", "job-20",
+    ];
+    let mut keys: Vec<String> = ids
+        .iter()
+        .map(|id| final_state(&JobId::from(*id)))
+        .collect();
+    keys.sort();
+    for id in ids {
+        let id = JobId::from(id);
+        let after = before_final_state(&id);
+        let first = keys.iter().find(|key| **key > after);
+        assert_eq!(first, Some(&final_state(&id)), "{after}");
+    }
+    assert_eq!(job_of_final_state("over/job-11"), Some("job-11".into()));
+    assert_eq!(job_of_final_state("live/job/job-11"), None);
+}
