Final states: counts of reads in the status, tests of pages

Cause: what a read costs and whom it answers could be seen only with lines added on a scratch copy; a page had no test of its own.

Change: /admin/status shows final_state_reads (records, pages, answered_jobs, refused, held_back). Tests: one request for a page of jobs, nothing for later questions about it, a job behind its end, a missing and an unreadable record, a refused page.

--- a/src/api/final_state_reader.rs
+++ b/src/api/final_state_reader.rs
@@ -41,6 +41,21 @@
 /// How often a read that is held back is tried again.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// What is counted of the reads of final states. Serialized as `/admin/status` shows it.
+#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
+pub(crate) struct FinalReadCounters {
+    /// Reads of one record.
+    records: u64,
+    /// Reads of a page.
+    pages: u64,
+    /// Jobs whose users were answered by a read.
+    answered_jobs: u64,
+    /// Reads that the store has refused, since its rates were used up.
+    refused: u64,
+    /// How often a read that was due had to wait for a token.
+    held_back: u64,
+}
+
 /// Final states by job: those that were read before, and reads of the others.
 #[derive(Clone)]
 pub(super) struct FinalStateReader {
@@ -48,6 +63,7 @@
     cache: Rc<RefCell<FinalStateCache>>,
     waiting: Rc<RefCell<WaitingQuestions>>,
     reserve: Rc<RefCell<TokenBucket>>,
+    counters: Rc<RefCell<FinalReadCounters>>,
     /// Whether the routine that admits reads is running.
     is_admitting: Rc<Cell<bool>>,
 }
@@ -62,10 +78,16 @@
             store,
             cache: Rc::default(),
             waiting: Rc::default(),
+            counters: Rc::default(),
             is_admitting: Rc::default(),
         }
     }
 
+    /// What was counted since the start.
+    pub(super) fn counters(&self) -> FinalReadCounters {
+        *self.counters.borrow()
+    }
+
     /// A job's final state, if it was read before.
     pub(super) fn cached(&self, id: &JobId) -> Option<FinalState> {
         self.cache.borrow().get(id)
@@ -130,7 +152,10 @@
             };
             match self.admit(now, now.since(next.first_asked)) {
                 Some(admitted) => self.begin_read(now, admitted, next.job),
-                None => runtime::sleep(RETRY_DELAY).await,
+                None => {
+                    self.counters.borrow_mut().held_back += 1;
+                    runtime::sleep(RETRY_DELAY).await;
+                }
             }
         }
         self.is_admitting.set(false);
@@ -161,12 +186,14 @@
         let jobs = waiting.awaited_from(now, &first, PAGE_ITEMS);
         if jobs.len() < PAGE_FROM_JOBS {
             waiting.begin(&first);
+            self.counters.borrow_mut().records += 1;
             runtime::spawn(self.clone().read_record(admitted, first));
             return;
         }
         for job in &jobs {
             waiting.begin(job);
         }
+        self.counters.borrow_mut().pages += 1;
         runtime::spawn(self.clone().read_page(admitted, first, jobs));
     }
 
@@ -228,6 +255,9 @@
 
     /// What the users of these jobs are told of a read without a result.
     fn on_failed_read(&self, jobs: &[JobId], error: StoreError) {
+        if error == StoreError::Refused {
+            self.counters.borrow_mut().refused += 1;
+        }
         for id in jobs {
             match error {
                 // Its users wait on: it is read again as soon as it is admitted.
@@ -242,6 +272,7 @@
         tracing::debug!(job = %id, ?result, "final state read");
         let has_ended = matches!(result, Ok(Some(_)));
         let answered = self.waiting.borrow_mut().finish(id, has_ended);
+        self.counters.borrow_mut().answered_jobs += u64::from(!answered.is_empty());
         for question in answered {
             question.send(result);
         }
--- a/src/api/final_state_reader/tests.rs
+++ b/src/api/final_state_reader/tests.rs
@@ -1,13 +1,19 @@
-use crate::api::tests::{Scene, StandIn, body, controller_api, job_state};
+use super::{PAGE_FROM_JOBS, PAGE_ITEMS};
+use crate::api::tests::{
+    Scene, StandIn, api_in_memory, body, controller_api, in_virtual_time, job_state,
+};
 use crate::config::tests::sample_config;
 use crate::http::{Client, Request, Response};
+use crate::ids::JobId;
 use crate::protocol::JobState;
-use crate::runtime::{self, run_in_virtual_time};
+use crate::runtime::{self, Scope, run_in_virtual_time};
 use crate::store::records::FinalRecord;
 use crate::store::{Store, keys};
 use serde_json::{Value, json};
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// While nothing else is asked, a question about an ended job costs two requests once, and none
 /// after that; one about a job that was never accepted costs one.
@@ -86,3 +92,115 @@
     assert_eq!(away.status, 503);
     assert_eq!(counted["by_reason"], json!({"store_down": 1}));
 }
+
+fn job_id(n: usize) -> JobId {
+    JobId::from(format!("job-{n:06}").as_str())
+}
+
+/// A store that holds the final states of so many jobs.
+fn store_with_ended_jobs(count: usize) -> Rc<RefCell<StandIn>> {
+    let mut state = StandIn::default();
+    for n in 0..count {
+        state.end(job_id(n).as_str(), JobState::Done);
+    }
+    Rc::new(RefCell::new(state))
+}
+
+/// The outcomes that a controller reads for users who ask at once, and its calls of the store.
+async fn outcomes(
+    state: &Rc<RefCell<StandIn>>,
+    jobs: impl Iterator<Item = usize>,
+) -> (Vec<Option<JobState>>, u64) {
+    let (api, _asked) = api_in_memory(state);
+    let api = Rc::new(api);
+    let results: Rc<RefCell<BTreeMap<usize, Option<JobState>>>> = Rc::default();
+    let mut users = Scope::default();
+    for n in jobs {
+        let (api, results) = (api.clone(), results.clone());
+        users.spawn(async move {
+            let outcome = api.final_outcome(&job_id(n)).await;
+            results.borrow_mut().insert(n, outcome);
+        });
+    }
+    runtime::sleep(Duration::from_secs(1)).await;
+    let calls = api.store.counters().calls;
+    (results.take().into_values().collect(), calls)
+}
+
+/// Two requests at the most: users do not all ask before the first read.
+#[test]
+fn jobs_on_a_page_are_read_with_one_request() {
+    let (outcomes, calls) = in_virtual_time(async {
+        let state = store_with_ended_jobs(PAGE_ITEMS);
+        outcomes(&state, 0..PAGE_ITEMS).await
+    });
+    assert_eq!(outcomes, vec![Some(JobState::Done); PAGE_ITEMS]);
+    assert!(calls <= 2, "{calls}");
+}
+
+/// Later questions about jobs that were on a page cost nothing.
+#[test]
+fn page_is_kept_for_later_questions() {
+    let (before, after) = in_virtual_time(async {
+        let state = store_with_ended_jobs(PAGE_ITEMS);
+        let (api, _asked) = api_in_memory(&state);
+        let api = Rc::new(api);
+        let mut users = Scope::default();
+        for n in 0..PAGE_FROM_JOBS + 1 {
+            let api = api.clone();
+            users.spawn(async move {
+                api.final_outcome(&job_id(n)).await;
+            });
+        }
+        runtime::sleep(Duration::from_secs(1)).await;
+        let before = api.store.counters().calls;
+        api.poll(job_id(PAGE_ITEMS - 1).as_str()).await;
+        (before, api.store.counters().calls)
+    });
+    assert_eq!(before, after);
+}
+
+/// A job behind the end of a page is read by the next one.
+#[test]
+fn job_behind_the_end_of_a_page_waits_on() {
+    let (outcomes, calls) = in_virtual_time(async {
+        let state = store_with_ended_jobs(2 * PAGE_ITEMS);
+        let asked = (0..2 * PAGE_ITEMS).step_by(100);
+        outcomes(&state, asked).await
+    });
+    assert!(outcomes.iter().all(Option::is_some), "{outcomes:?}");
+    assert!(calls <= 4, "{calls}");
+}
+
+/// A job without a record has not ended; one whose record can't be read has no answer. Neither concerns
+/// the others on the page, and a page that is refused is read again.
+#[test]
+fn page_tells_its_jobs_apart() {
+    let outcomes = in_virtual_time(async {
+        let state = store_with_ended_jobs(10);
+        state.borrow_mut().put(keys::final_state(&job_id(3)), &"?");
+        state
+            .borrow_mut()
+            .keys
+            .remove(&keys::final_state(&job_id(4)));
+        state.borrow_mut().refused_reads = 2;
+        outcomes(&state, 0..10).await.0
+    });
+    let expected = (0..10).map(|n| (n != 3 && n != 4).then_some(JobState::Done));
+    assert_eq!(outcomes, expected.collect::<Vec<_>>());
+}
+
+/// What is counted shows how many jobs a read answers.
+#[test]
+fn reads_are_counted_by_kind() {
+    let counted = in_virtual_time(async {
+        let state = store_with_ended_jobs(PAGE_ITEMS);
+        let (api, _asked) = api_in_memory(&state);
+        api.poll(job_id(0).as_str()).await;
+        json!(api.final_read_counters())
+    });
+    let expected = json!({
+        "records": 1, "pages": 0, "answered_jobs": 1, "refused": 0, "held_back": 0
+    });
+    assert_eq!(counted, expected);
+}
--- a/src/api/job_api.rs
+++ b/src/api/job_api.rs
@@ -1,7 +1,7 @@
 //! The facade of the users' side. Each kind of request has a file of its own: `submit`, `query`,
 //! `cancel` and `dependencies`.
 
-use super::final_state_reader::FinalStateReader;
+use super::final_state_reader::{FinalReadCounters, FinalStateReader};
 use super::retry_reason::RetryReason;
 use super::revision_check::RevisionChecker;
 use super::unanswered::{UnansweredQuestions, UnansweredReport};
@@ -76,6 +76,11 @@
         self.unanswered.borrow().report(self.store.now())
     }
 
+    /// What is counted of the reads of final states.
+    pub(crate) fn final_read_counters(&self) -> FinalReadCounters {
+        self.final_states.counters()
+    }
+
     /// Logs the end of episodes without answers.
     pub(crate) fn log_ended_episodes(&self) {
         self.unanswered.borrow_mut().log_ended(self.store.now());
--- a/src/daemon/status_report.rs
+++ b/src/daemon/status_report.rs
@@ -2,7 +2,7 @@
 
 use super::endpoint::EndpointReport;
 use super::node::Node;
-use crate::api::UnansweredReport;
+use crate::api::{FinalReadCounters, UnansweredReport};
 use crate::ids::{FencingToken, MachineId, Member, Resources, Revision, TeamId, TypeName, Zone};
 use crate::store::rate_limiter::RequestClass;
 use crate::store::records::ProgramVersion;
@@ -52,6 +52,8 @@
     responses: BTreeMap<&'static str, EndpointReport>,
     /// Users' questions without an answer.
     unanswered: UnansweredReport,
+    /// Reads of how jobs have ended.
+    final_state_reads: FinalReadCounters,
 }
 
 /// A shard's owner and its fencing token.
@@ -120,6 +122,7 @@
             store: StoreReport::new(&node.store),
             responses: node.response_stats.report(),
             unanswered: node.api.unanswered_report(),
+            final_state_reads: node.api.final_read_counters(),
         }
     }
 }
