Submissions that can't be written go to a peer before their jobs are looked up

Cause: a controller whose write was refused looked the job up, for 0.15 s or more, before it passed the submission to a peer, which mostly takes a new job at once.

Change: the peer is asked first. It looks the job up if its write is refused as well; this controller does so only where no peer answers. A typed error tells submissions that were not written from those that were looked up in vain.

--- a/src/api/dependencies.rs
+++ b/src/api/dependencies.rs
@@ -6,11 +6,11 @@
 pub(crate) use cascade::{CancellationCascade, CascadeStep};
 pub(crate) use decision::{Dependencies, DependencyState, named_in_cache, new_job};
 
-use super::job_api::{Answer, JobApi};
+use super::job_api::JobApi;
 use super::job_lookup::JobLookup;
 use super::responses::job_status;
 use super::retry_reason::RetryReason;
-use super::submit::not_written;
+use super::submit::{SubmissionError, Submitted};
 use crate::ids::{JobId, Revision, UnixTime};
 use crate::protocol::{JobSpec, JobState};
 use crate::runtime;
@@ -32,50 +32,51 @@
 
 impl JobApi {
     /// Accepts or refuses a job that depends on others.
-    pub(super) async fn submit_dependent(&self, spec: JobSpec) -> Answer {
+    pub(super) async fn submit_dependent(&self, spec: JobSpec) -> Submitted {
         let id = spec.id.clone();
         // An earlier version would start the job at once.
         if !self.controller.borrow().cache.all_know_dependencies() {
-            return self.status_or_retry(&id, RetryReason::EarlierVersion).await;
+            return Err(SubmissionError::NotWritten(RetryReason::EarlierVersion));
         }
         let mut changed = BTreeSet::new();
         for _ in 0..MAX_ATTEMPTS {
             let looked_up = self.look_up(&spec, &changed);
             let Some(dependencies) = runtime::timeout(LOOKUP_TIMEOUT, looked_up).await else {
-                return self.dependencies_unread(&id).await;
+                return Err(self.dependencies_unread());
             };
             if let Dependencies::Refused(reason) = &dependencies {
-                return self.refuse(&id, &reason.to_string()).await;
+                return Ok(self.refuse(&id, &reason.to_string()).await?);
             }
             let ops = self.config.state.txn_ops;
             let Some((txn, state)) = dependencies.accept(&spec, UnixTime::now(), ops) else {
-                return self.dependencies_unread(&id).await;
+                return Err(self.dependencies_unread());
             };
             match self.store.txn(RequestClass::Accept, &txn).await {
                 TxnOutcome::Committed(_) => return Ok(job_status(201, &id, state, None)),
                 TxnOutcome::Failed(failed, _) => {
                     let own = [keys::job(&id), keys::final_state(&id)];
                     if failed.iter().any(|key| own.contains(key)) {
-                        return self.found_status(&id, &failed).await;
+                        return Ok(self.found_status(&id, &failed).await?);
                     }
                     let dependencies = spec.dependencies.iter();
                     let stale = dependencies.filter(|d| failed.contains(&keys::job(d)));
                     changed.extend(stale.cloned());
                 }
-                outcome => return self.status_or_retry(&id, not_written(&id, &outcome)).await,
+                outcome => return Err(SubmissionError::not_written(&outcome)),
             }
         }
-        self.status_or_retry(&id, RetryReason::DependenciesChanging)
-            .await
+        Err(SubmissionError::NotWritten(
+            RetryReason::DependenciesChanging,
+        ))
     }
 
-    /// The answer to a submission whose dependencies could not be looked up. A store that does not answer
-    /// is not asked once more.
-    async fn dependencies_unread(&self, id: &JobId) -> Answer {
+    /// Why a submission whose dependencies could not be looked up has no answer. A store that does not
+    /// answer is not asked once more.
+    fn dependencies_unread(&self) -> SubmissionError {
         let reason = RetryReason::DependenciesUnread;
         match self.store.is_answering() {
-            true => self.status_or_retry(id, reason).await,
-            false => Err(reason),
+            true => SubmissionError::NotWritten(reason),
+            false => SubmissionError::Unanswered(reason),
         }
     }
 
--- a/src/api/submit.rs
+++ b/src/api/submit.rs
@@ -12,36 +12,95 @@
 use crate::store::records::JobRecord;
 use crate::store::{TxnOutcome, keys};
 
+/// A submission that could not be written, now or for certain.
+#[derive(Debug)]
+pub(crate) struct UnwrittenSubmission {
+    id: JobId,
+    reason: RetryReason,
+}
+
+/// Why a submission has no answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum SubmissionError {
+    /// It could not be written. Its job may be known all the same.
+    NotWritten(RetryReason),
+    /// Its job was looked up, and that had no result either, or a lookup would have none.
+    Unanswered(RetryReason),
+}
+
+/// The answer to a submission.
+pub(super) type Submitted = Result<Response, SubmissionError>;
+
+impl SubmissionError {
+    /// The outcome of a write that was not committed.
+    pub(super) fn not_written(outcome: &TxnOutcome) -> Self {
+        Self::NotWritten(RetryReason::of_txn(outcome))
+    }
+}
+
+impl From<RetryReason> for SubmissionError {
+    fn from(reason: RetryReason) -> Self {
+        Self::Unanswered(reason)
+    }
+}
+
 impl JobApi {
     /// Accepts or refuses a job. A retry of one that was accepted is answered like a poll.
     pub(crate) async fn submit(&self, body: &[u8]) -> Response {
-        match JobSpec::parse(body) {
-            Ok(spec) => {
-                let id = spec.id.clone();
-                let answer = self.submit_valid(spec).await;
-                self.respond(&id, answer)
+        match self.try_submit(body).await {
+            Ok(response) => response,
+            Err(unwritten) => self.look_up_unwritten(unwritten).await,
+        }
+    }
+
+    /// The same, but a submission that can't be written is handed back before its job is looked up: a
+    /// peer may write it at once.
+    pub(crate) async fn try_submit(&self, body: &[u8]) -> Result<Response, UnwrittenSubmission> {
+        let spec = match JobSpec::parse(body) {
+            Ok(spec) => spec,
+            Err(error) => return Ok(self.malformed(body, &error.to_string()).await),
+        };
+        let id = spec.id.clone();
+        match self.submit_valid(spec).await {
+            Ok(response) => Ok(self.respond(&id, Ok(response))),
+            Err(SubmissionError::Unanswered(reason)) => Ok(self.respond(&id, Err(reason))),
+            Err(SubmissionError::NotWritten(reason)) => {
+                tracing::debug!(job = %id, ?reason, "submission not written");
+                Err(UnwrittenSubmission { id, reason })
             }
-            Err(error) => self.malformed(body, &error.to_string()).await,
         }
     }
 
-    async fn submit_valid(&self, spec: JobSpec) -> Answer {
+    /// Answers a submission that was not written. Its job may be known all the same: its retry has the
+    /// right to an answer that its poll has.
+    pub(crate) async fn look_up_unwritten(&self, unwritten: UnwrittenSubmission) -> Response {
+        let UnwrittenSubmission { id, reason } = unwritten;
+        let answer = self.status_or_retry(&id, reason).await;
+        self.respond(&id, answer)
+    }
+
+    /// Asks the user of a submission that was not written to come back: a peer has looked its job up.
+    pub(crate) fn put_off_unwritten(&self, unwritten: UnwrittenSubmission) -> Response {
+        self.respond(&unwritten.id, Err(unwritten.reason))
+    }
+
+    async fn submit_valid(&self, spec: JobSpec) -> Submitted {
         let id = spec.id.clone();
         if self.is_cached(&id) {
-            return self.status_or_retry(&id, RetryReason::NotTaken).await;
+            return Ok(self.status_or_retry(&id, RetryReason::NotTaken).await?);
         }
         if !self.store.is_up() {
-            return Err(RetryReason::StoreDown);
+            return Err(RetryReason::StoreDown.into());
         }
         let catalog = {
             let controller = self.controller.borrow();
             controller.cache.catalog.as_ref().map(|c| c.value.clone())
         };
         let Some(catalog) = catalog else {
-            return Err(RetryReason::CatalogUnknown);
+            return Err(RetryReason::CatalogUnknown.into());
         };
         if let Err(infeasible) = feasibility::check(&spec, &self.config, &catalog) {
-            return self.refuse(&id, &infeasible.to_string()).await;
+            return Ok(self.refuse(&id, &infeasible.to_string()).await?);
         }
         if spec.dependencies.is_empty() {
             self.submit_independent(spec).await
@@ -57,17 +116,15 @@
     }
 
     /// Accepts a job that depends on no other.
-    async fn submit_independent(&self, spec: JobSpec) -> Answer {
+    async fn submit_independent(&self, spec: JobSpec) -> Submitted {
         let id = spec.id.clone();
         let record = JobRecord::new(spec, UnixTime::now());
         let mut txn = new_job(&id);
         txn.put(keys::job(&id), &record, None);
         match self.store.txn(RequestClass::Accept, &txn).await {
             TxnOutcome::Committed(_) => Ok(job_status(201, &id, JobState::Queued, None)),
-            TxnOutcome::Failed(failed, _) => self.found_status(&id, &failed).await,
-            // The job may be known all the same: its retry has the right to an answer that its poll
-            // has.
-            outcome => self.status_or_retry(&id, not_written(&id, &outcome)).await,
+            TxnOutcome::Failed(failed, _) => Ok(self.found_status(&id, &failed).await?),
+            outcome => Err(SubmissionError::not_written(&outcome)),
         }
     }
 
@@ -87,12 +144,5 @@
     }
 }
 
-/// Why a submission could not be written. The job may be known all the same.
-pub(super) fn not_written(id: &JobId, outcome: &TxnOutcome) -> RetryReason {
-    let reason = RetryReason::of_txn(outcome);
-    tracing::debug!(job = %id, ?reason, "submission not written");
-    reason
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/daemon/forwarding.rs
+++ b/src/daemon/forwarding.rs
@@ -11,11 +11,21 @@
 
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Asks a peer that the key-value store serves. `None`: there is none, or it did not answer.
+/// Asks a peer that the key-value store serves. `None`: there is none, or it could not decide.
 pub(super) async fn forward_request(node: &Node, request: &Request) -> Option<Response> {
+    let response = ask_served_peer(node, request).await;
+    response.filter(is_decided)
+}
+
+/// The answer of a peer that the key-value store serves, decided or not. `None`: there is none.
+pub(super) async fn ask_served_peer(node: &Node, request: &Request) -> Option<Response> {
     let peer = node.served_peers.latest()?;
-    let response = forward_to(node, &peer, request).await;
-    response.filter(|response| response.status < 500)
+    forward_to(node, &peer, request).await
+}
+
+/// Whether an answer is more than a request to come back.
+pub(super) fn is_decided(response: &Response) -> bool {
+    response.status < 500
 }
 
 /// Passes a worker's heartbeat on to the shard owner of its machine. `None`: the worker should
--- a/src/daemon/http_routes.rs
+++ b/src/daemon/http_routes.rs
@@ -69,6 +69,10 @@
 /// Answers a user's request here, or through a peer when the key-value store does not serve this
 /// node.
 async fn dispatch_to_users(node: &Node, request: &Request) -> RoutedResponse {
+    if user_endpoints::is_submission(request) {
+        let response = user_endpoints::submit(node, request).await;
+        return RoutedResponse::new(Endpoint::Submit, response);
+    }
     let Some(response) = user_endpoints::respond(node, request).await else {
         let response = Response::error(404, "no such path");
         return RoutedResponse::new(Endpoint::Other, response);
--- a/src/daemon/user_endpoints.rs
+++ b/src/daemon/user_endpoints.rs
@@ -1,6 +1,7 @@
 //! The users' endpoints: submissions, queries and cancellations of jobs.
 
 use super::endpoint::Endpoint;
+use super::forwarding;
 use super::node::Node;
 use crate::http::{Method, Request, Response};
 use crate::protocol::path;
@@ -14,6 +15,27 @@
     }
 }
 
+/// Whether a request submits a job.
+pub(super) fn is_submission(request: &Request) -> bool {
+    request.method == Method::Post && request.path_without_query() == path::JOBS
+}
+
+/// Answers a submission here, or through a peer when it can't be written here. The peer comes before
+/// the lookup of the job here, for which a new job would wait in vain; whoever is asked last looks it up.
+pub(super) async fn submit(node: &Node, request: &Request) -> Response {
+    match node.api.try_submit(&request.body).await {
+        Ok(response) if response.status == 503 => forwarding::forward_request(node, request)
+            .await
+            .unwrap_or(response),
+        Ok(response) => response,
+        Err(unwritten) => match forwarding::ask_served_peer(node, request).await {
+            Some(response) if forwarding::is_decided(&response) => response,
+            Some(_) => node.api.put_off_unwritten(unwritten),
+            None => node.api.look_up_unwritten(unwritten).await,
+        },
+    }
+}
+
 /// Decides a user's request on this node; `None` for paths of others.
 pub(super) async fn respond(node: &Node, request: &Request) -> Option<Response> {
     let rest = request.path_without_query().strip_prefix(path::JOBS)?;
