--- a/src/api/submit/tests/refused_writes.rs
+++ b/src/api/submit/tests/refused_writes.rs
@@ -91,6 +91,26 @@
     }
 }
 
+/// What happened: with the lookup above, 95% of submissions took 32 ms and more on days on which they took
+/// 18.7 ms before. Why: a new job waited for the lookup before a peer was asked, which could write it at
+/// once. So a submission that is not written is handed back first, after its one request.
+#[test]
+fn submission_that_is_not_written_is_handed_back_before_the_lookup() {
+    for writes in [Writes::Refused, Writes::Delayed] {
+        let (handed_back, calls, took) = in_virtual_time(async move {
+            let state = Rc::<RefCell<StandIn>>::default();
+            state.borrow_mut().writes = writes;
+            let (api, _asked) = api_in_memory(&state);
+            let asked_at = runtime::now();
+            let result = api.try_submit(&body("job-1", |_| ())).await;
+            let took = runtime::now() - asked_at;
+            (result.is_err(), api.store.counters().calls, took)
+        });
+        assert!(handed_back);
+        assert_eq!((calls, took), (1, Duration::ZERO));
+    }
+}
+
 /// The write may still be carried out: until then the answer is to come back, and no repetition makes
 /// a second job.
 #[test]
