--- a/review/lib/cluster.py
+++ b/review/lib/cluster.py
@@ -44,6 +44,16 @@
     }
 
 
+def fleet_params():
+    """The same with the times and rates of savannah-bight-charts-fleet."""
+    params = small_params()
+    params["workers"].update(report_s=5.0, lease_s=26.5, cancel_s=46.5)
+    params["state"].update(rps=250.0, write_rps=70.0)
+    params["cloud"]["rps"] = 5.0
+    params["quota"].update(cpu=0.248, ram_mb=88.0, sockets=3110)
+    return params
+
+
 def free_ports(count):
     sockets = [socket.socket() for _ in range(count)]
     for s in sockets:
@@ -196,12 +206,12 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def main(folder, case, machines=6, limit=110):
+def main(folder, case, machines=6, limit=110, params=None):
     """Runs a case; its function returns a list of broken rules. Exit codes as the issue says."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
-        cluster = Cluster(folder)
+        cluster = Cluster(folder, params=params)
         cluster.note(f"TROUBLE={'1' if trouble else '0'}")
         try:
             await cluster.start(machines)
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -114,6 +114,8 @@
         if self.gone:
             return None
         await self.hung.wait()
+        if self.gone:
+            return None
         self.check_lease()
         if path == "/inspect":
             return 200, self.report()
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -37,7 +37,7 @@
         self.dropped_until = 1
         self.grants = {}                    # id -> [life in s, end]
         self.next_grant = 1
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()
         self.refused = [False] * count      # 503 for this controller alone
         self.delay = [None] * count         # function (method, path, body) -> seconds, or None
         self.observers = []                 # functions (controller, method, path, body)
@@ -74,8 +74,8 @@
         self.log.append(event)
 
     async def notify(self):
-        async with self.changed:
-            self.changed.notify_all()
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
 
     async def handle(self, index, method, path, body):
         for observer in self.observers:
@@ -193,11 +193,10 @@
                     return 200, {"edition": self.edition, "events": events}
             else:
                 left = 0.05
-            async with self.changed:
-                try:
-                    await asyncio.wait_for(self.changed.wait(), min(max(left, 0.01), 0.25))
-                except asyncio.TimeoutError:
-                    pass
+            try:
+                await asyncio.wait_for(self.changed.wait(), min(max(left, 0.01), 0.25))
+            except asyncio.TimeoutError:
+                pass
 
     def close(self):
         self.expiry.cancel()
