--- a/review/lib/cluster.py
+++ b/review/lib/cluster.py
@@ -4,6 +4,7 @@
 import asyncio
 import json
 import os
+import re
 import shlex
 import shutil
 import signal
@@ -12,7 +13,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
@@ -102,8 +102,8 @@
         await self.store.start()
         self.fleet = Fleet(self.params, self.members, self.ports, self.note)
         await self.fleet.start(self.count)
-        with open(os.path.join(ROOT, "deploy", "service.toml"), "rb") as file:
-            self.command = shlex.split(tomllib.load(file)["run"])
+        with open(os.path.join(ROOT, "deploy", "service.toml")) as file:
+            self.command = shlex.split(re.search(r'^run = "(.*)"$', file.read(), re.M).group(1))
         if not os.path.exists(os.path.join(ROOT, self.command[0])):
             raise CannotRun("the program is not built")
         for gate in self.gates.values():
