--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,106 +1,128 @@
-"""A shard owner stands still for half a minute. Its machines pass to other owners and go on. When it wakes up,
-it deletes one of them at the cloud."""
+"""Connections between controllers are refused. Users cancel jobs right after these were accepted, and ask at
+the other controllers before and after they are told that the job is cancelled."""
 
 import asyncio
+import itertools
 import os
-import signal
+import random
 import sys
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib"))
 
-from cluster import CannotRun, call, fleet_params, job, main  # noqa: E402
+from cluster import CannotRun, call, job, main, small_params  # noqa: E402
+from net import Connection  # noqa: E402
 
-HANG_S, FREEZE_S = 4.0, 30.0
+FOR_S = 26.0            # of at most 30 s for which connections are refused
+AT = 0                  # where users submit and cancel
+OTHERS = (1, 2)         # where they ask
 
 
-async def owners(cluster, index):
-    """Returns the leader, and the owner of each shard, as this controller knows them."""
-    status = await cluster.status(index)
-    blocks = status["blocks"]
-    rows = blocks.items() if isinstance(blocks, dict) else enumerate(blocks)
-    found = {}
-    for name, row in rows:
-        found[int(row.get("block", name))] = cluster.members.index(row["holder"])
-    return cluster.members.index(status["leader"]), found
+def params():
+    settings = small_params()
+    # A team like those of the permit deployment: 16 CPUs guaranteed, 48 at most.
+    settings["teams"][3].update(cpus=16.0, cpus_max=48.0)
+    return settings
 
 
-async def case(cluster, trouble):
-    # Services and one-task arrays, so that some machine has tasks of both.
-    for n in range(1, 13):
-        await cluster.submit(n % 3, job(n, "daemon", 1, 2.0))
-    for n in range(101, 113):
-        await cluster.submit(n % 3, job(n, "array", 1, 4.0, 300.0), run_s=300.0)
-    await asyncio.sleep(4.0)
-
-    leader, held = await owners(cluster, 0)
-    cluster.note(f"leader {leader}, owners of the shards {held}")
-    choice = None
-    for worker in cluster.fleet.workers.values():
-        jobs = sorted({key[0].partition("/")[0] for key, t in worker.tasks.items()
-                       if t["standing"] == "running"})
-        arrays = [j for j in jobs if cluster.fleet.jobs[j]["shape"] == "array"]
-        services = [j for j in jobs if cluster.fleet.jobs[j]["shape"] == "daemon"]
-        owner = held[int(worker.name[3:]) % (2 * cluster.count)]
-        if arrays and services and (choice is None or owner != leader):
-            choice = worker, owner, arrays[0], services
-    if choice is None:
-        raise CannotRun("no machine has tasks of both kinds")
-    worker, owner, cancelled, services = choice
-    other = next(i for i in range(cluster.count) if i != owner)
-    cluster.note(f"{worker.name} is owned by controller {owner}; services there: {services}")
+async def one_round(cluster, number, pause, broken):
+    """Submits a job that has to wait for its team's limit, cancels it `pause` seconds later, and asks about
+    it every few milliseconds meanwhile and for 60 ms after the user was told."""
+    body = job(number, "array", 1, 4.0, crew="print")
+    cluster.fleet.jobs[body["id"]] = dict(body, run_s=20.0)
+    here = Connection(cluster.ports[AT])
+    answers, told = [], {"at": None}
+
+    async def ask(index):
+        asked = time.monotonic()
+        connection = Connection(cluster.ports[index])
+        try:
+            status, answer = await connection.call("GET", f"/work/{body['id']}", timeout=2.0)
+        except (OSError, asyncio.TimeoutError):
+            return
+        finally:
+            connection.close()
+        answers.append((asked, time.monotonic(), index, status, answer))
+
+    status, _ = await here.call("POST", "/work", body, timeout=5.0)
+    if status not in (200, 201):
+        return False
+    accepted = time.monotonic()
+    polls = []
+
+    async def look():
+        while told["at"] is None or time.monotonic() - told["at"] < 0.06:
+            polls.extend(asyncio.create_task(ask(index)) for index in OTHERS)
+            await asyncio.sleep(0.006)
+            if time.monotonic() - accepted > 3.0:
+                return
+
+    looking = asyncio.create_task(look())
+    await asyncio.sleep(pause)
+    status, answer = await here.call("POST", f"/work/{body['id']}/withdraw", timeout=5.0)
+    if status == 200 and answer["standing"] == "withdrawn":
+        told["at"] = time.monotonic()
+    await looking
+    await asyncio.gather(*polls)
+    here.close()
+    if told["at"] is None:
+        return False
+    cluster.note(f"{body['id']}: accepted; told withdrawn after "
+                 f"{1000 * (told['at'] - accepted):.0f} ms; {len(answers)} polls")
+    # Only polls that were sent after the user was told.
+    for asked, answered, index, status, answer in sorted(answers, key=lambda a: a[0]):
+        if asked <= told["at"]:
+            continue
+        if status == 200 and answer["standing"] != "withdrawn":
+            broken.append(f"went_back: {answer} from controller {index} to a poll that was sent "
+                          f"{1000 * (asked - told['at']):.0f} ms after its user was told withdrawn")
+            cluster.note(broken[-1])
+    return True
+
 
+async def others_submit(cluster, numbers):
+    """Other users submit some twenty-five one-task jobs a second, which have to wait as well."""
+    async def one(index, body):
+        try:
+            await call(cluster.ports[index], "POST", "/work", body, timeout=5.0)
+        except (OSError, asyncio.TimeoutError):
+            pass
+
+    while True:
+        body = job(next(numbers), "array", 1, 4.0, crew="print")
+        cluster.fleet.jobs[body["id"]] = dict(body, run_s=20.0)
+        asyncio.create_task(one(random.randrange(cluster.count), body))
+        await asyncio.sleep(random.uniform(0.02, 0.06))
+
+
+async def case(cluster, trouble):
+    # The team is at its limit: twelve tasks of four CPUs that run for minutes.
+    await cluster.submit(AT, job(1, "array", 12, 4.0, 300.0, crew="print"), run_s=300.0)
+    await asyncio.sleep(3.0)
     if trouble:
-        cluster.note(f"{worker.name} hangs")
-        worker.hung.clear()
+        cluster.refuse_peers()
     began = time.monotonic()
+    broken, played = [], 0
+    background = asyncio.create_task(others_submit(cluster, itertools.count(100_000)))
 
-    async def cancel():
-        while True:
-            try:
-                status, answer = await call(cluster.ports[other], "POST",
-                                            f"/work/{cancelled}/withdraw", timeout=5.0)
-            except (OSError, asyncio.TimeoutError):
-                status, answer = None, None
-            cluster.note(f"user cancels {cancelled} at {other}: {status} {answer}")
-            if status == 200:
+    async def stream(numbers):
+        nonlocal played
+        for number in numbers:
+            if time.monotonic() - began > FOR_S:
                 return
-            await asyncio.sleep(1.0)
+            played += await one_round(cluster, number, random.uniform(0.005, 0.08), broken)
 
-    cancelling = asyncio.create_task(cancel())
-    await asyncio.sleep(1.0)
-    if trouble:
-        cluster.signal(owner, signal.SIGSTOP)
-    frozen = time.monotonic()
-    await asyncio.sleep(began + HANG_S - time.monotonic())
-    if trouble:
-        cluster.note(f"{worker.name} goes on")
-        worker.hung.set()
-    await asyncio.sleep(frozen + FREEZE_S - 1.0 - time.monotonic())
-    if not cancelling.done():
-        raise CannotRun("the cancellation is not confirmed")
-    if worker.gone:
-        raise CannotRun("the machine was deleted before")
-    _, now_held = await owners(cluster, other)
-    cluster.note(f"owners of the shards now: {now_held}")
-    new_owner = now_held[int(worker.name[3:]) % (2 * cluster.count)]
-    if trouble and new_owner == owner:
-        raise CannotRun("the shard was not handed over")
-    running = [k[0] for k, t in worker.tasks.items() if t["standing"] == "running"]
-    cluster.note(f"{worker.name} runs {running}; its owner is controller {new_owner}")
-    await asyncio.sleep(frozen + FREEZE_S - time.monotonic())
-    before = len(cluster.fleet.deletions)
-    if trouble:
-        cluster.signal(owner, signal.SIGCONT)
-    await asyncio.sleep(5.0)
-    late = [(index, names) for _, index, names in cluster.fleet.deletions[before:]
-            if worker.name in names]
+    await asyncio.gather(*[stream(itertools.count(1000 * n)) for n in (1, 2, 3)])
+    background.cancel()
+    cluster.note(f"{played} jobs were cancelled in {time.monotonic() - began:.1f} s")
     if trouble:
-        return [f"controller {index}, which was replaced as the owner, deletes {names} with "
-                f"{running}" for index, names in late if index == owner]
-    return [f"controller {index} deletes {names}" for index, names in late]
+        await cluster.admit_peers()
+        await asyncio.sleep(2.0)
+    if played < 10:
+        raise CannotRun("too few jobs were cancelled")
+    return broken
 
 
 if __name__ == "__main__":
-    main(HERE, case, params=fleet_params())
+    main(HERE, case, params=params(), gates=True)
--- a/review/lib/cluster.py
+++ b/review/lib/cluster.py
@@ -17,7 +17,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 from fleet import Fleet  # noqa: E402
-from net import Connection, call  # noqa: E402
+from net import Gate, call  # noqa: E402
 from store import Store  # noqa: E402
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -92,7 +92,7 @@
         self.ports, self.peer_ports = ports[:count], ports[count:]
         self.processes = [None] * count
         self.folder = tempfile.mkdtemp(prefix="review-")
-        self.run_s = {}
+        self.gates = {}                 # (from, to) -> the proxy of that link, if there are any
 
     def note(self, text):
         self.record.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
@@ -106,6 +106,8 @@
             self.command = shlex.split(tomllib.load(file)["run"])
         if not os.path.exists(os.path.join(ROOT, self.command[0])):
             raise CannotRun("the program is not built")
+        for gate in self.gates.values():
+            await gate.open()
         for index in range(self.count):
             self.write_settings(index)
             self.spawn(index)
@@ -114,9 +116,28 @@
         await self.until(self.all_ready, 20, "controllers are not ready")
         await self.until(self.all_usable, 30, "machines are not in use")
 
+    def use_gates(self):
+        """Puts a proxy into each link between two controllers; to be called before the start."""
+        self.gates = {(a, b): Gate(self.peer_ports[b]) for a in range(self.count)
+                      for b in range(self.count) if a != b}
+
+    def refuse_peers(self):
+        self.note("connections between controllers are refused")
+        for gate in self.gates.values():
+            gate.shut()
+
+    async def admit_peers(self):
+        self.note("connections between controllers are accepted again")
+        for gate in self.gates.values():
+            await gate.open()
+
+    def peer_port(self, index, other):
+        gate = self.gates.get((index, other))
+        return gate.port if gate else self.peer_ports[other]
+
     def write_settings(self, index):
         others = [{"member": self.members[i], "area": ZONES[i % 2],
-                   "addr": f"127.0.0.1:{self.peer_ports[i]}"}
+                   "addr": f"127.0.0.1:{self.peer_port(index, i)}"}
                   for i in range(self.count) if i != index]
         settings = {"member": self.members[index], "area": ZONES[index % 2],
                     "bind": f"127.0.0.1:{self.ports[index]}",
@@ -195,6 +216,8 @@
             if process is not None and process.poll() is None:
                 process.kill()
                 process.wait()
+        for gate in self.gates.values():
+            gate.shut()
         self.fleet.close()
         self.store.close()
         keep = os.environ.get("KEEP_LOGS")
@@ -206,13 +229,15 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def main(folder, case, machines=6, limit=110, params=None):
+def main(folder, case, machines=6, limit=110, params=None, gates=False):
     """Runs a case; its function returns a list of broken rules. Exit codes as the issue says."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
         cluster = Cluster(folder, params=params)
         cluster.note(f"TROUBLE={'1' if trouble else '0'}")
+        if gates:
+            cluster.use_gates()
         try:
             await cluster.start(machines)
             broken = await asyncio.wait_for(case(cluster, trouble), limit)
--- a/review/lib/net.py
+++ b/review/lib/net.py
@@ -128,3 +128,45 @@
         return await connection.call(method, path, body, timeout, raw)
     finally:
         connection.close()
+
+
+class Gate:
+    """A proxy in front of a loopback port. While it is shut, connections are refused, and open ones are
+    reset."""
+
+    def __init__(self, target):
+        self.target, self.server, self.port, self.writers = target, None, None, set()
+
+    async def open(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port or 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def shut(self):
+        if self.server:
+            self.server.close()
+        self.server = None
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self.writers.add(writer)
+        other = None
+        try:
+            far, other = await asyncio.open_connection("127.0.0.1", self.target)
+            self.writers.add(other)
+            await asyncio.gather(self._pump(reader, other), self._pump(far, writer))
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            for end in (writer, other):
+                if end is not None:
+                    self.writers.discard(end)
+                    end.transport.abort()
+
+    async def _pump(self, reader, writer):
+        while True:
+            data = await reader.read(65536)
+            if not data:
+                raise ConnectionError
+            writer.write(data)
+            await writer.drain()
