--- a/review/lib/users.py
+++ b/review/lib/users.py
@@ -22,6 +22,7 @@
         self.skip_until = [0.0] * count
         self.failed = [0] * count
         self.open = [set() for _ in range(count)]
+        self.asking = [0] * count       # polls without an answer yet
         self.tasks = [asyncio.create_task(self.probe(i)) for i in range(count)]
 
     async def probe(self, index):
@@ -106,6 +107,8 @@
                 if found is not None:
                     index, connection = found
             if connection is not None:
+                asked = index
+                self.balancer.asking[asked] += 1
                 try:
                     status, answer = await connection.call("GET", f"/work/{self.job_id}",
                                                            timeout=2.0)
@@ -113,5 +116,7 @@
                 except (OSError, asyncio.TimeoutError):
                     self.balancer.open[index].discard(connection)
                     connection = None
+                finally:
+                    self.balancer.asking[asked] -= 1
             pause = self.every * random.uniform(0.8, 1.2)
             await asyncio.sleep(max(0.02, began + pause - time.monotonic()))
