--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib"))
 
-from cluster import CannotRun, call, job, main, small_params  # noqa: E402
+from cluster import JOBS, CannotRun, call, job, main, small_params  # noqa: E402
 from net import Connection  # noqa: E402
 
 FOR_S = 26.0            # of at most 30 s for which connections are refused
@@ -38,14 +38,14 @@
         asked = time.monotonic()
         connection = Connection(cluster.ports[index])
         try:
-            status, answer = await connection.call("GET", f"/work/{body['id']}", timeout=2.0)
+            status, answer = await connection.call("GET", f"{JOBS}/{body['id']}", timeout=2.0)
         except (OSError, asyncio.TimeoutError):
             return
         finally:
             connection.close()
         answers.append((asked, time.monotonic(), index, status, answer))
 
-    status, _ = await here.call("POST", "/work", body, timeout=5.0)
+    status, _ = await here.call("POST", JOBS, body, timeout=5.0)
     if status not in (200, 201):
         return False
     accepted = time.monotonic()
@@ -60,7 +60,7 @@
 
     looking = asyncio.create_task(look())
     await asyncio.sleep(pause)
-    status, answer = await here.call("POST", f"/work/{body['id']}/withdraw", timeout=5.0)
+    status, answer = await here.call("POST", f"{JOBS}/{body['id']}/withdraw", timeout=5.0)
     if status == 200 and answer["standing"] == "withdrawn":
         told["at"] = time.monotonic()
     await looking
@@ -85,7 +85,7 @@
     """Other users submit some twenty-five one-task jobs a second, which have to wait as well."""
     async def one(index, body):
         try:
-            await call(cluster.ports[index], "POST", "/work", body, timeout=5.0)
+            await call(cluster.ports[index], "POST", JOBS, body, timeout=5.0)
         except (OSError, asyncio.TimeoutError):
             pass
 
@@ -125,4 +125,4 @@
 
 
 if __name__ == "__main__":
-    main(HERE, case, params=params(), gates=True)
+    main(os.path.join(HERE, "record.txt"), case, params=params(), gates=True)
--- a/review/lib/cluster.py
+++ b/review/lib/cluster.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
@@ -21,6 +22,8 @@
 from store import Store  # noqa: E402
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+JOBS = "/work"          # the path of the users' interface
+LIMIT_S = 110           # for the whole of a case
 ZONES = ["brunswick-hall", "savannah-annex"]
 
 
@@ -81,9 +84,10 @@
 
 
 class Cluster:
-    def __init__(self, folder, count=3, params=None):
+    def __init__(self, record, count=3, params=None):
         self.began = time.monotonic()
-        self.record = open(os.path.join(folder, "record.txt"), "w", buffering=1)
+        self.record = open(record, "w", buffering=1)
+        self.store = self.fleet = None
         self.count = count
         self.params = params or small_params()
         self.params["size"] = count
@@ -196,7 +200,7 @@
         self.fleet.jobs[body["id"]] = dict(body, run_s=run_s)
         for _ in range(30):
             try:
-                status, answer = await call(self.ports[index], "POST", "/work", body, timeout)
+                status, answer = await call(self.ports[index], "POST", JOBS, body, timeout)
             except (OSError, asyncio.TimeoutError):
                 status, answer = None, None
             if status in (200, 201):
@@ -207,7 +211,7 @@
 
     async def poll(self, index, job_id, timeout=2.0):
         try:
-            return await call(self.ports[index], "GET", f"/work/{job_id}", timeout=timeout)
+            return await call(self.ports[index], "GET", f"{JOBS}/{job_id}", timeout=timeout)
         except (OSError, asyncio.TimeoutError):
             return None, None
 
@@ -218,8 +222,9 @@
                 process.wait()
         for gate in self.gates.values():
             gate.shut()
-        self.fleet.close()
-        self.store.close()
+        for part in (self.fleet, self.store):
+            if part is not None:
+                part.close()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
             for index in range(self.count):
@@ -229,23 +234,28 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def main(folder, case, machines=6, limit=110, params=None, gates=False):
-    """Runs a case; its function returns a list of broken rules. Exit codes as the issue says."""
+def main(record, case, machines=6, params=None, gates=False):
+    """Runs a case and writes the file `record`. The case's function returns a list of broken rules. Exit codes: 1
+    if a rule was broken, 0 if none was, 2 if the case could not run, for whatever reason."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
-    async def run():
-        cluster = Cluster(folder, params=params)
+    async def run(cluster):
         cluster.note(f"TROUBLE={'1' if trouble else '0'}")
         if gates:
             cluster.use_gates()
+        await cluster.start(machines)
+        return await case(cluster, trouble)
+
+    async def run_in_time():
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for which in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(which, task.cancel)
+        cluster = Cluster(record, params=params)
         try:
-            await cluster.start(machines)
-            broken = await asyncio.wait_for(case(cluster, trouble), limit)
-        except CannotRun as problem:
-            cluster.note(f"could not run: {problem}")
-            return 2
-        except asyncio.TimeoutError:
-            cluster.note("could not run: out of time")
+            broken = await asyncio.wait_for(run(cluster), LIMIT_S)
+        except (Exception, asyncio.CancelledError) as problem:
+            cluster.note(f"could not run: {type(problem).__name__} {problem}")
+            cluster.note(traceback.format_exc())
             return 2
         finally:
             cluster.close()
@@ -254,6 +264,6 @@
         cluster.note("rule broken" if broken else "rule held")
         return 1 if broken else 0
 
-    code = asyncio.run(run())
+    code = asyncio.run(run_in_time())
     print({0: "rule held", 1: "rule broken", 2: "could not run"}[code])
     sys.exit(code)
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -42,6 +42,7 @@
         self.delay = [None] * count         # function (method, path, body) -> seconds, or None
         self.observers = []                 # functions (controller, method, path, body)
         self.servers = []
+        self.expiry = None
         self.counts = {"429": 0}
 
     async def start(self):
@@ -199,6 +200,7 @@
                 pass
 
     def close(self):
-        self.expiry.cancel()
+        if self.expiry is not None:
+            self.expiry.cancel()
         for server in self.servers:
             server.close()
--- a/review/lib/users.py
+++ b/review/lib/users.py
@@ -8,6 +8,8 @@
 
 from net import Connection, call
 
+JOBS = "/work"          # the path of the users' interface
+
 
 class Balancer:
     """Works on connections: each new one goes to the healthy controller with the fewest. Controllers
@@ -110,7 +112,7 @@
                 asked = index
                 self.balancer.asking[asked] += 1
                 try:
-                    status, answer = await connection.call("GET", f"/work/{self.job_id}",
+                    status, answer = await connection.call("GET", f"{JOBS}/{self.job_id}",
                                                            timeout=2.0)
                     self.seen(index, self.job_id, status, answer)
                 except (OSError, asyncio.TimeoutError):
