Fixed: polls were answered pending after the cancellation of their job was confirmed

Txn::require dropped a second condition on a key, so of polls about one job from before and after the watch delivered it only the first condition was sent, and its success was read as the success of the other.

Change: all polls of a job in a batch share one check, whose revision is read from the watch cache when the comparison is built. That is right for each of them, as the comparison is evaluated after all have arrived. Txn::require keeps contradictory conditions, so that such a transaction fails. No frame, record or answer has another form, and a batch has as many conditions as before or fewer.

--- a/src/api/job_api.rs
+++ b/src/api/job_api.rs
@@ -61,7 +61,10 @@
         cancellations: Sender<Cancellation>,
     ) -> Self {
         let max_conditions = Txn::CONDITIONS_PER_CHANGE * config.store_limits.txn_ops;
-        let revision_checker = RevisionChecker::start(store.clone(), max_conditions);
+        let cached_controller = controller.clone();
+        let cached_revision = move |job: &JobId| cached_controller.borrow().cache.job_revision(job);
+        let revision_checker =
+            RevisionChecker::start(store.clone(), Box::new(cached_revision), max_conditions);
         let final_states = FinalStateReader::new(store.clone());
         Self {
             config: config.clone(),
--- a/src/api/query.rs
+++ b/src/api/query.rs
@@ -71,11 +71,7 @@
         if !self.store.is_up() {
             return Err(RetryReason::StoreDown);
         }
-        let cached = {
-            let controller = self.controller.borrow();
-            controller.cache.job_revision(id)
-        };
-        match self.revision_checker.check(id, cached).await {
+        match self.revision_checker.check(id).await {
             StoredJob::Live => Ok(KnownJob::Live),
             StoredJob::Ended => Ok(KnownJob::Ended(self.read_final_state(id).await?)),
             // Either the job has ended, or its record has changed because its dependencies are done
--- a/src/api/revision_check.rs
+++ b/src/api/revision_check.rs
@@ -1,13 +1,19 @@
 //! Checks in batches whether jobs still have the revision that the watch cache shows, and whether
 //! jobs that it does not show are live or have ended. A comparison, which is a transaction without
 //! changes, evaluates the conditions of many polls with one request.
+//!
+//! All polls of a job in one batch share one check. Its expected revision is read from the watch cache
+//! when the comparison is built, not when a poll arrives: the cache may change in between, and a
+//! comparison has only one condition on a key. The comparison is evaluated after each of these polls
+//! was received, so its result is recent enough for all of them.
 
 use super::retries::retry_refused;
 use super::retry_reason::RetryReason;
 use crate::ids::{JobId, Revision};
 use crate::protocol::store::Txn;
-use crate::runtime::{self, Sender, channel, oneshot};
+use crate::runtime::{self, Receiver, Sender, channel, oneshot};
 use crate::store::{StoreClient, TxnOutcome, keys};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -33,15 +39,33 @@
     Unknown(RetryReason),
 }
 
-/// A queued check of the state of a job.
-struct JobCheck {
+/// Returns the revision of a job's record that the watch cache shows; `None` if it does not show the
+/// job.
+type CachedRevision = Box<dyn Fn(&JobId) -> Option<Revision>>;
+
+/// A poll that waits for the state of a job.
+struct QueuedCheck {
     job: JobId,
-    /// The revision that the watch cache shows; `None` if it does not show the job.
-    cached: Option<Revision>,
     answer: Sender<StoredJob>,
 }
 
+/// The check of the state of one job in a comparison.
+struct JobCheck {
+    /// The revision that the watch cache showed when the comparison was built; `None` if it did not
+    /// show the job.
+    cached: Option<Revision>,
+    /// The polls that wait for the result.
+    answers: Vec<Sender<StoredJob>>,
+}
+
 impl JobCheck {
+    fn new(cached: Option<Revision>) -> Self {
+        Self {
+            cached,
+            answers: Vec::new(),
+        }
+    }
+
     /// Returns the number of conditions that the check adds to a transaction.
     fn conditions(&self) -> usize {
         match self.cached {
@@ -51,15 +75,15 @@
     }
 
     /// Adds the conditions whose failures tell which records of the job exist.
-    fn add_conditions(&self, txn: &mut Txn) {
-        txn.require(keys::job(&self.job), self.cached.unwrap_or_default());
+    fn add_conditions(&self, job: &JobId, txn: &mut Txn) {
+        txn.require(keys::job(job), self.cached.unwrap_or_default());
         if self.cached.is_none() {
-            txn.require(keys::final_state(&self.job), Revision(0));
+            txn.require(keys::final_state(job), Revision(0));
         }
     }
 
     /// Returns the state of the job according to the outcome of the transaction.
-    fn stored_job(&self, outcome: &TxnOutcome) -> StoredJob {
+    fn stored_job(&self, job: &JobId, outcome: &TxnOutcome) -> StoredJob {
         let failed = match outcome {
             TxnOutcome::Committed(_) => &[][..],
             TxnOutcome::Failed(failed, _) => failed.as_slice(),
@@ -67,57 +91,109 @@
                 return StoredJob::Unknown(RetryReason::of_txn(outcome));
             }
         };
-        let live_failed = failed.contains(&keys::job(&self.job));
+        let live_failed = failed.contains(&keys::job(job));
         match (self.cached, live_failed) {
             (Some(_), false) => StoredJob::Live,
             (Some(_), true) => StoredJob::Changed,
-            (None, _) if failed.contains(&keys::final_state(&self.job)) => StoredJob::Ended,
+            (None, _) if failed.contains(&keys::final_state(job)) => StoredJob::Ended,
             (None, true) => StoredJob::Live,
             (None, false) => StoredJob::NeverAccepted,
         }
     }
 }
 
+/// The checks of one comparison, by job.
+struct Batch {
+    checks: BTreeMap<JobId, JobCheck>,
+    txn: Txn,
+}
+
+impl Batch {
+    /// Takes the queued polls that one comparison has room for, and builds the comparison.
+    fn take(
+        first: QueuedCheck,
+        queue: &mut Receiver<QueuedCheck>,
+        max_conditions: usize,
+        cached_revision: &CachedRevision,
+    ) -> Self {
+        let mut batch = Self {
+            checks: BTreeMap::new(),
+            txn: Txn::default(),
+        };
+        batch.add(first, cached_revision);
+        let fits = |batch: &Self, next: &QueuedCheck| {
+            let added = || JobCheck::new(cached_revision(&next.job)).conditions();
+            batch.checks.contains_key(&next.job)
+                || batch.txn.conditions.len() + added() <= max_conditions
+        };
+        while let Some(next) = queue.try_recv_if(|next| fits(&batch, next)) {
+            batch.add(next, cached_revision);
+        }
+        batch
+    }
+
+    fn add(&mut self, queued: QueuedCheck, cached_revision: &CachedRevision) {
+        let QueuedCheck { job, answer } = queued;
+        let txn = &mut self.txn;
+        let check = self.checks.entry(job).or_insert_with_key(|job| {
+            let check = JobCheck::new(cached_revision(job));
+            check.add_conditions(job, txn);
+            check
+        });
+        check.answers.push(answer);
+    }
+
+    /// Evaluates all conditions in one comparison and sends the results.
+    async fn evaluate(self, store: Rc<StoreClient>) {
+        let outcome = retry_refused(
+            &store,
+            async |class| store.txn(class, &self.txn).await,
+            |outcome| matches!(outcome, TxnOutcome::Refused(_)),
+        );
+        let outcome = outcome.await;
+        for (job, check) in self.checks {
+            let stored_job = check.stored_job(&job, &outcome);
+            for answer in check.answers {
+                answer.send(stored_job);
+            }
+        }
+    }
+}
+
 /// Collects checks and makes them in batches, one comparison per batch.
 pub(super) struct RevisionChecker {
-    queue: Sender<JobCheck>,
+    queue: Sender<QueuedCheck>,
 }
 
 impl RevisionChecker {
-    /// Starts the task that makes the checks. `max_conditions` is the maximum number of conditions of
-    /// a transaction.
-    pub(super) fn start(store: Rc<StoreClient>, max_conditions: usize) -> Self {
-        let (queue, mut checks) = channel::<JobCheck>();
+    /// Starts the task that makes the checks. `cached_revision` reads the watch cache.
+    /// `max_conditions` is the maximum number of conditions of a transaction.
+    pub(super) fn start(
+        store: Rc<StoreClient>,
+        cached_revision: CachedRevision,
+        max_conditions: usize,
+    ) -> Self {
+        let (queue, mut checks) = channel::<QueuedCheck>();
         runtime::spawn(async move {
             while let Some(first) = checks.recv().await {
                 if checks.backlog() + 1 < max_conditions {
                     runtime::sleep(CHECK_BATCH_DELAY).await;
                 }
-                let mut txn = Txn::default();
-                first.add_conditions(&mut txn);
-                let mut batch = vec![first];
-                while let Some(next) = checks
-                    .try_recv_if(|next| txn.conditions.len() + next.conditions() <= max_conditions)
-                {
-                    next.add_conditions(&mut txn);
-                    batch.push(next);
-                }
-                runtime::spawn(check_batch(store.clone(), txn, batch));
+                let batch = Batch::take(first, &mut checks, max_conditions, &cached_revision);
+                runtime::spawn(batch.evaluate(store.clone()));
             }
         });
         Self { queue }
     }
 
-    /// Returns the state of a job in the store within about a second. `cached` is the revision that
-    /// the watch cache shows, or `None` if it does not show the job.
-    pub(super) async fn check(&self, job: &JobId, cached: Option<Revision>) -> StoredJob {
+    /// Returns the state of a job in the store within about a second.
+    pub(super) async fn check(&self, job: &JobId) -> StoredJob {
         if self.queue.backlog() >= MAX_QUEUED_CHECKS {
             return StoredJob::Unknown(RetryReason::TooManyQuestions);
         }
         let (answer, result) = oneshot();
-        self.queue.send(JobCheck {
+        self.queue.send(QueuedCheck {
             job: job.clone(),
-            cached,
             answer,
         });
         let no_answer = StoredJob::Unknown(RetryReason::StoreSilent);
@@ -125,18 +201,5 @@
     }
 }
 
-/// Evaluates all conditions of a batch in one comparison and sends the results.
-async fn check_batch(store: Rc<StoreClient>, txn: Txn, batch: Vec<JobCheck>) {
-    let outcome = retry_refused(
-        &store,
-        async |class| store.txn(class, &txn).await,
-        |outcome| matches!(outcome, TxnOutcome::Refused(_)),
-    );
-    let outcome = outcome.await;
-    for check in batch {
-        check.answer.send(check.stored_job(&outcome));
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/protocol/store.rs
+++ b/src/protocol/store.rs
@@ -43,7 +43,7 @@
 /// made.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Txn {
-    /// The conditions, at most one for each key.
+    /// The conditions. Several on one key require different revisions of it, so that one of them fails.
     #[serde(rename = "if")]
     pub conditions: Vec<Condition>,
     /// The changes that are made if all conditions hold.
@@ -55,12 +55,16 @@
     /// Ratio of the maximum number of conditions in a transaction to the maximum number of changes.
     pub(crate) const CONDITIONS_PER_CHANGE: usize = 4;
 
-    /// Adds a condition on a key's revision, unless the transaction already has a condition on this
-    /// key.
+    /// Adds a condition on a key's revision, unless the transaction already has the same condition. A
+    /// condition on the same key with another revision is kept as well: the transaction then fails
+    /// instead of being committed on the ground of only one of them.
     pub(crate) fn require(&mut self, key: impl Into<String>, revision: Revision) {
-        let key = key.into();
-        if !self.conditions.iter().any(|c| c.key == key) {
-            self.conditions.push(Condition { key, revision });
+        let condition = Condition {
+            key: key.into(),
+            revision,
+        };
+        if !self.conditions.contains(&condition) {
+            self.conditions.push(condition);
         }
     }
 
--- a/src/protocol/tests.rs
+++ b/src/protocol/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::ids::{AttemptNumber, FencingToken, Millis, TaskAttempt, TaskId, WorkerEpoch};
+use crate::ids::{AttemptNumber, FencingToken, Millis, Revision, TaskAttempt, TaskId, WorkerEpoch};
 use proptest::prelude::*;
 use serde_json::json;
 
@@ -23,6 +23,18 @@
     assert_eq!(JobSpec::parse(&stored).expect("stored form"), spec);
 }
 
+/// Guards against a transaction that is committed, or a comparison that is answered, on the ground of the
+/// first of two contradictory conditions: the second one was dropped.
+#[test]
+fn contradictory_conditions_on_a_key_are_both_sent() {
+    let mut txn = store::Txn::default();
+    for revision in [0, 5, 0, 5] {
+        txn.require("live/job/job-000001", Revision(revision));
+    }
+    let revisions: Vec<u64> = txn.conditions.iter().map(|c| c.revision.0).collect();
+    assert_eq!(revisions, [0, 5]);
+}
+
 #[test]
 fn malformed_submissions_name_the_field() {
     let cases = [
