Fixed: a restarted controller took responses to its earlier process's forwarded requests for its own

Cause: forwarded requests were numbered from 1 in each process and responses matched by that number alone.

Change: the ids of a process start at its random incarnation, and only the peer that was asked can answer. The table is in peers, without I/O, so that the simulation uses it too: forwarded heartbeats and their answers are messages of their own there now, with a timeout, and the new fault late_forwarded_responses holds them up while the waiting controller restarts. The status of a controller that has just paused counts for 2.5 s, as in the daemon.

--- a/src/compatibility/samples.rs
+++ b/src/compatibility/samples.rs
@@ -3,8 +3,8 @@
 
 use crate::admin::Settings;
 use crate::ids::{
-    AttemptNumber, CancellationRoundId, Incarnation, JobId, LeaseId, MachineId, MemberId, Millis,
-    Revision, ShardFence, ShardId, TaskAttempt, TaskId, UnixTime,
+    AttemptNumber, CancellationRoundId, ForwardedRequestId, Incarnation, JobId, LeaseId, MachineId,
+    MemberId, Millis, Revision, ShardFence, ShardId, TaskAttempt, TaskId, UnixTime,
 };
 use crate::peers::{Allotment, AttemptOutcome, EndedAttempt, FreedAttempt, MachineHealth, Message};
 use crate::protocol::{Catalog, ExitReason, JobState};
@@ -145,13 +145,13 @@
 
 fn forwarding_messages() -> Vec<(&'static str, Message)> {
     let request = Message::ForwardedRequest {
-        id: 8,
+        id: ForwardedRequestId(8),
         is_post: true,
         path: "/work".into(),
         body: b"{}".to_vec(),
     };
     let response = Message::ForwardedResponse {
-        id: 8,
+        id: ForwardedRequestId(8),
         status: 201,
         body: b"{}".to_vec(),
     };
--- a/src/daemon/forwarding.rs
+++ b/src/daemon/forwarding.rs
@@ -55,17 +55,18 @@
 }
 
 async fn forward_to(node: &Node, peer: &MemberId, request: &Request) -> Option<Response> {
-    let pending = node.pending_forwards.register()?;
+    let (sender, response) = runtime::oneshot();
+    let id = node.pending_forwards.borrow_mut().register(peer, sender)?;
     let message = Message::ForwardedRequest {
-        id: pending.id,
+        id,
         is_post: request.method == Method::Post,
         path: request.target.clone(),
         body: request.body.clone(),
     };
     node.send(peer, message);
-    let response = runtime::timeout(FORWARD_TIMEOUT, pending.response.get())
+    let response = runtime::timeout(FORWARD_TIMEOUT, response.get())
         .await
         .flatten();
-    node.pending_forwards.remove(pending.id);
+    node.pending_forwards.borrow_mut().remove(id);
     response
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -20,7 +20,6 @@
 mod peer_messages;
 mod peer_status;
 mod peer_store_access;
-mod pending_forwards;
 mod status_report;
 mod store_watch;
 mod tick_loop;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -4,14 +4,13 @@
 use super::endpoint::ResponseStats;
 use super::membership_log::MembershipLog;
 use super::peer_store_access::PeerStoreAccess;
-use super::pending_forwards::PendingForwards;
 use crate::api::{Cancellation, JobApi};
 use crate::config::Config;
 use crate::controller::{Controller, Effect};
 use crate::episodes::Episodes;
-use crate::http::Client;
+use crate::http::{Client, Response};
 use crate::ids::{Incarnation, MemberId, Millis, MonotonicTime};
-use crate::peers::{Links, Message, RelayRoutes};
+use crate::peers::{Links, Message, PendingForwards, RelayRoutes};
 use crate::runtime::{Scope, Sender};
 use crate::store::StoreClient;
 use std::cell::{Cell, RefCell};
@@ -57,7 +56,7 @@
     /// Which peers reach the key-value store.
     pub(super) peer_store_access: PeerStoreAccess,
     /// Requests that were forwarded to peers and have no response yet.
-    pub(super) pending_forwards: PendingForwards,
+    pub(super) pending_forwards: RefCell<PendingForwards<Sender<Response>>>,
     /// Counts and latencies of HTTP responses.
     pub(super) response_stats: ResponseStats,
     /// The leader and the shard owners that were logged last.
@@ -92,7 +91,7 @@
             worker_client: Client::new(MAX_HEARTBEAT_BYTES, config.max_sockets / 5),
             watch_cache_loaded: Cell::new(false),
             peer_store_access: PeerStoreAccess::default(),
-            pending_forwards: PendingForwards::default(),
+            pending_forwards: RefCell::new(PendingForwards::new(incarnation)),
             response_stats: ResponseStats::default(),
             membership_log: RefCell::default(),
             refused_rentals: RefCell::new(Episodes::new(
--- a/src/daemon/peer_messages.rs
+++ b/src/daemon/peer_messages.rs
@@ -4,7 +4,7 @@
 use super::node::Node;
 use super::{heartbeat_endpoint, user_endpoints};
 use crate::http::{Method, Request, Response};
-use crate::ids::{MachineId, MemberId};
+use crate::ids::{ForwardedRequestId, MachineId, MemberId};
 use crate::peers::Message;
 use crate::protocol::path;
 use crate::runtime;
@@ -45,8 +45,10 @@
                 ));
             }
             Message::ForwardedResponse { id, status, body } => {
-                self.pending_forwards
-                    .complete(id, Response::new(status, body));
+                let waiter = self.pending_forwards.borrow_mut().complete(id, from);
+                if let Some(waiter) = waiter {
+                    waiter.send(Response::new(status, body));
+                }
             }
             message => {
                 self.update(|controller, now| controller.on_peer_message(now, from, message))
@@ -84,7 +86,12 @@
 }
 
 /// Answers a request that a peer forwarded. The request is never forwarded again.
-async fn answer_forwarded_request(node: Rc<Node>, from: MemberId, id: u64, request: Request) {
+async fn answer_forwarded_request(
+    node: Rc<Node>,
+    from: MemberId,
+    id: ForwardedRequestId,
+    request: Request,
+) {
     let response = if request.method == Method::Post && request.target == path::HEARTBEAT {
         heartbeat_endpoint::answer_relayed_heartbeat(&node, &request.body)
     } else {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -11,8 +11,8 @@
     Image, JobId, MachineId, MachineTypeName, MemberId, Pipeline, TeamId, Zone,
 };
 pub(crate) use numbers::{
-    AttemptNumber, CancellationRoundId, FencingToken, HeartbeatSequence, Incarnation, LeaseId,
-    Revision, ShardFence, ShardId, WorkerEpoch,
+    AttemptNumber, CancellationRoundId, FencingToken, ForwardedRequestId, HeartbeatSequence,
+    Incarnation, LeaseId, Revision, ShardFence, ShardId, WorkerEpoch,
 };
 pub(crate) use resources::Resources;
 pub(crate) use tasks::{TaskAttempt, TaskId};
--- a/src/peers/messages.rs
+++ b/src/peers/messages.rs
@@ -2,8 +2,8 @@
 //! keep their order; any change of either requires a new frame version.
 
 use crate::ids::{
-    AttemptNumber, CancellationRoundId, Incarnation, JobId, MachineId, MachineTypeName, MemberId,
-    Millis, Pipeline, Revision, ShardFence, ShardId, TaskAttempt,
+    AttemptNumber, CancellationRoundId, ForwardedRequestId, Incarnation, JobId, MachineId,
+    MachineTypeName, MemberId, Millis, Pipeline, Revision, ShardFence, ShardId, TaskAttempt,
 };
 use crate::protocol::ExitReason;
 use crate::store::records::MachineRecord;
@@ -69,8 +69,8 @@
     /// A user's request that the sender cannot decide because it does not reach the key-value
     /// store, or a heartbeat whose worker cannot reach the receiver.
     ForwardedRequest {
-        /// Identifies the request among the requests that the sender has forwarded.
-        id: u64,
+        /// Identifies the request among the requests that all processes of the sender have forwarded.
+        id: ForwardedRequestId,
         /// Whether the method is POST; otherwise it is GET.
         #[serde(rename = "post")]
         is_post: bool,
@@ -82,7 +82,7 @@
     /// The response to a forwarded request.
     ForwardedResponse {
         /// The id of the request.
-        id: u64,
+        id: ForwardedRequestId,
         /// HTTP status code.
         status: u16,
         /// Body of the response.
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -1,9 +1,10 @@
-//! Communication between controllers: messages, their frame format, connections, and relay routes
-//! around broken links.
+//! Communication between controllers: messages, their frame format, connections, relay routes around
+//! broken links, and forwarded requests.
 
 mod frame;
 mod link;
 mod messages;
+mod pending_forwards;
 mod relay_routes;
 
 #[cfg(test)]
@@ -12,6 +13,7 @@
 pub(crate) use messages::{
     Allotment, AttemptOutcome, EndedAttempt, FreedAttempt, MachineHealth, Message,
 };
+pub(crate) use pending_forwards::PendingForwards;
 pub(crate) use relay_routes::RelayRoutes;
 
 /// Encodes a message to a frame and decodes it as the receiver would. The simulation passes each
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -11,7 +11,9 @@
 mod net;
 mod timer;
 
-pub(crate) use channel::{Oneshot, Receiver, Sender, channel, oneshot};
+#[cfg(test)]
+pub(crate) use channel::Oneshot;
+pub(crate) use channel::{Receiver, Sender, channel, oneshot};
 pub(crate) use clock::now;
 #[cfg(test)]
 pub(crate) use clock::virtual_time::run_in_virtual_time;
--- a/src/simulation/controller_processes.rs
+++ b/src/simulation/controller_processes.rs
@@ -2,10 +2,12 @@
 
 use super::cluster::SimulatedCluster;
 use super::events::{ControllerProcess, SimulationEvent};
+use super::guards::DisabledGuard;
 use super::timing::MEMBER_LEASE_MS;
 use super::topology::MEMBERS;
 use crate::controller::{Controller, Effect};
 use crate::ids::{Incarnation, MemberId, Revision, UnixTime};
+use crate::peers::PendingForwards;
 use crate::protocol::store::Txn;
 use crate::store::keys;
 use crate::store::records::{MemberRecord, ProgramVersion};
@@ -56,7 +58,12 @@
             return;
         }
         let incarnation = Incarnation(self.pick(1, 1 << 40));
+        let reuses_ids = self.disabled_guard == DisabledGuard::ForwardIdsReused;
         let n = &mut self.nodes[node];
+        n.pending_forwards = PendingForwards::new(match reuses_ids {
+            true => Incarnation(0),
+            false => incarnation,
+        });
         n.generation += 1;
         n.watched_revision = Revision(0);
         n.final_records_seen.clear();
--- a/src/simulation/events.rs
+++ b/src/simulation/events.rs
@@ -1,5 +1,6 @@
 //! The events of a simulated cluster.
 
+use super::fake_services::{ForwardTimeout, ForwardedAnswer, ForwardedHeartbeat};
 use crate::api::dependencies::CancellationCascade;
 use crate::controller::{Effect, TxnRequester};
 use crate::ids::{CancellationRoundId, FencingToken, JobId, MachineId, MonotonicTime, WorkerEpoch};
@@ -182,6 +183,12 @@
     HeartbeatResponse(HeartbeatResponse),
     /// A redirect arrives instead of a response to a heartbeat.
     HeartbeatRedirect(HeartbeatRedirect),
+    /// A forwarded heartbeat arrives at a shard owner.
+    ForwardedHeartbeat(ForwardedHeartbeat),
+    /// The response to a forwarded heartbeat arrives.
+    ForwardedAnswer(ForwardedAnswer),
+    /// The wait for the response to a forwarded heartbeat ends.
+    ForwardTimeout(ForwardTimeout),
     /// Gangs advance, and the regular invariants are checked.
     GangTick,
     /// The record of a machine that was unreachable for long is checked to be gone.
@@ -190,6 +197,8 @@
     InjectFaults,
     /// Controllers stop and restart within a fraction of a second.
     RestartControllers,
+    /// A controller stops and restarts within a fraction of a second.
+    RestartController(usize),
     /// The leader stops.
     StopLeader,
     /// An outage of the key-value store begins, which lasts for this number of ms.
@@ -230,6 +239,9 @@
             Self::CancellationPoll(poll) => Some(poll.process.node),
             Self::CascadeStep(step) => Some(step.process.node),
             Self::Heartbeat(delivery) => Some(delivery.node),
+            Self::ForwardedHeartbeat(forwarded) => Some(forwarded.to),
+            Self::ForwardedAnswer(forwarded) => Some(forwarded.to),
+            Self::ForwardTimeout(timeout) => Some(timeout.process.node),
             _ => None,
         }
     }
--- a/src/simulation/fake_services/heartbeats.rs
+++ b/src/simulation/fake_services/heartbeats.rs
@@ -165,17 +165,16 @@
         let (answer, effects) = controller.on_heartbeat(now, &delivery.heartbeat);
         self.digest.add_answer(node, &answer);
         self.execute(node, effects);
+        if let HeartbeatAnswer::Redirect(Some(owner)) = &answer
+            && self.forward_heartbeat(&delivery, owner)
+        {
+            return;
+        }
         self.respond_to_heartbeat(delivery, answer);
     }
 
-    fn respond_to_heartbeat(&mut self, delivery: HeartbeatDelivery, mut answer: HeartbeatAnswer) {
+    fn respond_to_heartbeat(&mut self, delivery: HeartbeatDelivery, answer: HeartbeatAnswer) {
         let ms = self.pick(TRANSIT_MS.0, TRANSIT_MS.1);
-        if let HeartbeatAnswer::Redirect(Some(owner)) = &answer
-            && let Some(relayed) =
-                self.relay_heartbeat(delivery.node, owner.clone(), &delivery.heartbeat)
-        {
-            answer = relayed;
-        }
         match answer {
             HeartbeatAnswer::Commands(token, commands) => {
                 let response = HeartbeatResponse {
@@ -193,7 +192,14 @@
         }
     }
 
-    fn redirect(&mut self, ms: u64, machine: MachineId, ticket: u64, to: Option<usize>) {
+    /// Sends a redirect to the controller `to`, if it is known, as the response to a heartbeat.
+    pub(in crate::simulation) fn redirect(
+        &mut self,
+        ms: u64,
+        machine: MachineId,
+        ticket: u64,
+        to: Option<usize>,
+    ) {
         let redirect = HeartbeatRedirect {
             machine,
             ticket,
--- a/src/simulation/fake_services/network.rs
+++ b/src/simulation/fake_services/network.rs
@@ -2,19 +2,19 @@
 
 use crate::ids::{MemberId, MonotonicTime};
 use crate::peers::{Message, RelayRoutes, frame_round_trip};
-use crate::protocol::Heartbeat;
 use crate::simulation::cluster::SimulatedCluster;
 use crate::simulation::events::{PeerDelivery, SimulationEvent};
 use crate::simulation::guards::DisabledGuard;
 use crate::simulation::topology::{
     ISOLATED_ZONE, ISOLATED_ZONE_CONTROLLER, MEMBERS, member_index, zone_of,
 };
-use crate::worker_control::HeartbeatAnswer;
 
 /// The latency of a message between controllers, in ms.
 const TRANSIT_MS: (u64, u64) = (1, 5);
 /// The latency of a relayed message, in ms.
 const RELAY_TRANSIT_MS: u64 = 10;
+/// How long the last status of a controller counts, in ms.
+const PEER_STATUS_TIMEOUT_MS: u64 = 2500;
 /// Percent of the messages between controllers that are lost.
 const LOST_MESSAGE_PERCENT: u64 = 5;
 
@@ -72,14 +72,17 @@
     }
 
     /// Returns the relay routes that a controller would know now. They are computed from the current
-    /// state of the network, as if all reachable peers had just sent their periodic status.
-    fn routes(&self, node: usize) -> RelayRoutes {
+    /// state of the network, as if all reachable peers had just sent their periodic status. The status
+    /// of a controller that has just paused has not expired yet.
+    pub(in crate::simulation) fn routes(&self, node: usize) -> RelayRoutes {
         let now = self.now;
         let controller_count = self.nodes.len();
         let reachable_peers = |one: usize, other: usize| {
             let is_running = |n: usize| {
                 let node = &self.nodes[n];
-                let serving = node.paused_until <= now && node.peers_cut_until <= now;
+                let has_status = node.paused_until <= now
+                    || now.since(node.paused_at).0 < PEER_STATUS_TIMEOUT_MS;
+                let serving = has_status && node.peers_cut_until <= now;
                 node.controller.is_some() && serving
             };
             let partitioned = self.is_partitioned(one, other);
@@ -112,36 +115,6 @@
         member_index(relay_for.as_str())
     }
 
-    /// Relays a heartbeat to the shard owner of its machine, and returns the response, or `None` if
-    /// the heartbeat was not relayed or the owner gave no response.
-    pub(in crate::simulation) fn relay_heartbeat(
-        &mut self,
-        node: usize,
-        owner: MemberId,
-        heartbeat: &Heartbeat,
-    ) -> Option<HeartbeatAnswer> {
-        if !self.faults.zone_partition || self.disabled_guard == DisabledGuard::RelayDisabled {
-            return None;
-        }
-        let now = self.now;
-        let routes = self.routes(node);
-        if !routes.should_relay_heartbeat(now, &owner, &heartbeat.machine) {
-            return None;
-        }
-        let to = member_index(owner.as_str())?;
-        let owner_running = self.nodes[to].paused_until <= now;
-        let reached = owner_running && self.relay_between(node, to).is_some()
-            || routes.reachable_peers(now).contains(&owner);
-        let controller = self.nodes[to].controller.as_mut().filter(|_| reached)?;
-        let (answer, effects) = controller.on_relayed_heartbeat(now, heartbeat);
-        self.execute(to, effects);
-        if let Some(answer) = &answer {
-            self.digest.add_answer(to, answer);
-        }
-        self.observed.relayed_messages += u64::from(answer.is_some());
-        answer
-    }
-
     /// Tells a controller whether its zone is partitioned from another one, as the daemon does.
     pub(in crate::simulation) fn report_partition(&mut self, node: usize) {
         if self.faults.zone_partition {
--- a/src/simulation/fault_injection.rs
+++ b/src/simulation/fault_injection.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    /// Stops a controller and restarts it within a fraction of a second.
+    pub(super) fn restart_controller(&mut self, node: usize) {
+        let ms = self.pick(FAST_RESTART_MS.0, FAST_RESTART_MS.1);
+        self.stop_controller(node, ms);
+    }
+
     fn isolate_controller(&mut self) {
         if !(self.faults.isolated_controllers && self.chance(25)) {
             return;
@@ -190,6 +196,7 @@
             let victim = self.pick_node();
             let ms = self.pick(4000, 2 * SHARD_LEASE_MS);
             let until = self.time_in(ms);
+            self.nodes[victim].paused_at = self.now;
             self.nodes[victim].paused_until = until;
             self.active_faults.last_pause_until = self.active_faults.last_pause_until.max(until);
         }
--- a/src/simulation/faults.rs
+++ b/src/simulation/faults.rs
@@ -48,6 +48,9 @@
     pub cancel_at_completion: bool,
     /// Two zones can't reach each other, and a third reaches both.
     pub zone_partition: bool,
+    /// Forwarded heartbeats and their responses are held up on their way for seconds, and the
+    /// controllers that wait for the responses restart within a fraction of a second.
+    pub late_forwarded_responses: bool,
     /// Users submit jobs that depend on other jobs.
     pub dependent_jobs: bool,
     /// Controllers start as the earlier version and are upgraded one at a time.
@@ -78,6 +81,7 @@
         control_plane_outage: false,
         cancel_at_completion: false,
         zone_partition: false,
+        late_forwarded_responses: false,
         dependent_jobs: false,
         rolling_upgrade: false,
         lowered_store_limits: false,
@@ -105,6 +109,7 @@
         control_plane_outage: true,
         cancel_at_completion: true,
         zone_partition: false,
+        late_forwarded_responses: false,
         dependent_jobs: false,
         rolling_upgrade: false,
         lowered_store_limits: false,
--- a/src/simulation/guards.rs
+++ b/src/simulation/guards.rs
@@ -21,6 +21,8 @@
     CancellationConfirmedOnCommit,
     /// Messages and heartbeats are not relayed around a zone partition.
     RelayDisabled,
+    /// Each process of a controller gives its forwarded requests the same ids.
+    ForwardIdsReused,
     /// Once all faults are healed, workers ignore launches.
     LaunchesIgnoredAfterHeal,
     /// Workers forget exited tasks once they have reported them, without a command.
--- a/src/simulation/node.rs
+++ b/src/simulation/node.rs
@@ -1,10 +1,12 @@
 //! A node that a controller runs on.
 
+use super::fake_services::WaitingWorker;
 use super::topology::MEMBERS;
 use crate::config::Config;
 use crate::config::tests::sample_config;
 use crate::controller::Controller;
-use crate::ids::{JobId, LeaseId, MemberId, MonotonicTime, Revision};
+use crate::ids::{Incarnation, JobId, LeaseId, MemberId, MonotonicTime, Revision};
+use crate::peers::PendingForwards;
 use std::collections::BTreeSet;
 
 /// A node and the controller that runs on it.
@@ -26,8 +28,12 @@
     pub store_cut_until: MonotonicTime,
     /// Until when messages from and to other controllers are lost.
     pub peers_cut_until: MonotonicTime,
+    /// When the last pause of the process began.
+    pub paused_at: MonotonicTime,
     /// Until when the process is paused.
     pub paused_until: MonotonicTime,
+    /// The workers whose heartbeats the process has forwarded.
+    pub pending_forwards: PendingForwards<WaitingWorker>,
     /// Cancelled jobs whose final record this process has written or read.
     pub final_records_seen: BTreeSet<JobId>,
     /// Whether the node runs the earlier version of the program.
@@ -54,7 +60,9 @@
             previous_lease: None,
             store_cut_until: MonotonicTime(0),
             peers_cut_until: MonotonicTime(0),
+            paused_at: MonotonicTime(0),
             paused_until: MonotonicTime(0),
+            pending_forwards: PendingForwards::new(Incarnation(0)),
             final_records_seen: BTreeSet::new(),
             earlier_version,
         }
--- a/src/simulation/tests/zone_faults.rs
+++ b/src/simulation/tests/zone_faults.rs
@@ -2,9 +2,11 @@
 //! partitioned from each other.
 
 use super::{assert_invariants_hold, assert_invariants_hold_on_seeds, run_simulation_with_size};
+use crate::simulation::cluster::SimulatedCluster;
 use crate::simulation::faults::Faults;
 use crate::simulation::guards::DisabledGuard;
 use crate::simulation::topology::FIVE_CONTROLLERS;
+use crate::simulation::violations::ViolationKind;
 
 /// The controller in the isolated zone keeps renewing the leases of its machines, so cancelled tasks
 /// continue to run there until their machine is deleted.
@@ -102,6 +104,37 @@
     }
 }
 
+/// Responses to forwarded heartbeats arrive at processes that did not forward them.
+const LATE_FORWARDED_RESPONSES: Faults = Faults {
+    zone_partition: true,
+    late_forwarded_responses: true,
+    overload: true,
+    ..Faults::NONE
+};
+
+fn run_with_late_forwarded_responses(seed: u64, guard: DisabledGuard) -> SimulatedCluster {
+    run_simulation_with_size(FIVE_CONTROLLERS, seed, LATE_FORWARDED_RESPONSES, guard)
+}
+
+/// Guards against commands that reach another machine than the one they are meant for: a restarted
+/// controller gave its forwarded heartbeats the ids of its earlier process, and took the late responses to
+/// those for its own.
+#[test]
+fn late_responses_to_forwarded_heartbeats_reach_no_other_machine() {
+    for seed in 440..456 {
+        let cluster = run_with_late_forwarded_responses(seed, DisabledGuard::None);
+        assert_invariants_hold(&cluster, &format!("late forwarded responses, seed {seed}"));
+    }
+    let is_detected = |seed: &u64| {
+        let cluster = run_with_late_forwarded_responses(*seed, DisabledGuard::ForwardIdsReused);
+        let mut violations = cluster.observed.violations.iter();
+        violations.any(|v| v.kind == ViolationKind::CommandsMisdelivered)
+    };
+    let detecting_seed = (440..600).find(is_detected);
+    println!("ForwardIdsReused detected with seed {detecting_seed:?}");
+    assert!(detecting_seed.is_some(), "reused ids were not detected");
+}
+
 #[test]
 fn invariants_hold_with_five_controllers_under_all_faults() {
     for seed in 430..438 {
--- a/src/simulation/violations.rs
+++ b/src/simulation/violations.rs
@@ -14,6 +14,8 @@
     QuotaExceeded,
     /// A task was launched in violation of a zone or spot constraint.
     WrongPlacement,
+    /// A machine got commands that were meant for another one, or for an earlier time.
+    CommandsMisdelivered,
     /// A task was live long after its user was told that it is cancelled.
     CancelledTaskRan,
     /// A task was launched after its user was told that it is cancelled.
