Fixed: late outcomes settled direct calls and record writes that were still in flight

Callers would see: a cancelled task that starts after its confirmation, or a moved one that runs on two machines. Shown by tests alone.

Cause: outcomes were matched by machine name, and for launches by token. An owner that loses a shard and regains it within a second tracks its machines anew while calls and writes of the earlier trackers are in flight; their outcomes ended the new ones. An answer of another machine at the same address counted as well.

Change: RequestId for each direct call and record write; only the outcome of that id ends it. Of an earlier call's outcome only the worker's status counts; another machine's answer counts as none.

Evidence: late_outcomes, three tests. With the guard taken out each fails: call ids (a launch without outcome is settled), write ids (reports about a placement in flight), machine (the shard is acknowledged as cleared).

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -19,7 +19,7 @@
 use crate::cloud::{Autoscaler, RentOutcome};
 use crate::config::Config;
 use crate::ids::{
-    FencingToken, Incarnation, JobId, LeaseId, MachineId, Millis, MonotonicTime, Revision, UnixTime,
+    Incarnation, JobId, LeaseId, MachineId, Millis, MonotonicTime, Revision, UnixTime,
 };
 use crate::leadership::{Leadership, ReachabilityMonitor};
 use crate::placement::Scheduler;
@@ -29,7 +29,9 @@
 use crate::store::rate_limiter::RequestClass;
 use crate::store::watch_cache::WatchCache;
 use crate::store::{TxnOutcome, keys};
-use crate::worker_control::{self, DirectCallOutcome, HeartbeatAnswer, HeartbeatPath, ShardOwner};
+use crate::worker_control::{
+    self, DirectCallOutcome, HeartbeatAnswer, HeartbeatPath, SentCall, ShardOwner,
+};
 use cancellation::CancellationState;
 use catalog::CatalogWriter;
 use cleanup::RecordCleanup;
@@ -209,23 +211,16 @@
         self.shard_owner.set_partitioned(partitioned);
     }
 
-    /// Handles the outcome of direct commands that were sent to a worker with the fencing token `token`.
+    /// Handles the outcome of direct commands that were sent to a worker.
     pub(crate) fn on_direct_call_outcome(
         &mut self,
         now: MonotonicTime,
-        machine: &MachineId,
-        token: FencingToken,
+        call: &SentCall,
         outcome: DirectCallOutcome,
     ) -> Vec<Effect> {
         let mut out = Vec::new();
-        self.shard_owner.on_direct_call_outcome(
-            now,
-            machine,
-            token,
-            outcome,
-            &self.cache,
-            &mut out,
-        );
+        self.shard_owner
+            .on_direct_call_outcome(now, call, outcome, &self.cache, &mut out);
         self.apply_and_run_due_work(now, out)
     }
 
@@ -238,9 +233,9 @@
     ) -> Vec<Effect> {
         let mut out = Vec::new();
         match requester {
-            TxnRequester::ShardOwner(machine) => {
+            TxnRequester::ShardOwner(write) => {
                 self.shard_owner
-                    .on_txn_outcome(now, machine, outcome, &mut self.cache, &mut out);
+                    .on_txn_outcome(now, write, outcome, &mut self.cache, &mut out);
                 self.timers.schedule.request();
             }
             TxnRequester::Leadership => self.leadership.on_txn_outcome(now, outcome),
--- a/src/controller/effects.rs
+++ b/src/controller/effects.rs
@@ -5,13 +5,13 @@
 use crate::protocol::RentRequest;
 use crate::protocol::store::Txn;
 use crate::store::rate_limiter::RequestClass;
-use crate::worker_control::DirectCall;
+use crate::worker_control::{DirectCall, RecordWrite};
 
 /// The duty that requested a transaction and receives its outcome.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum TxnRequester {
-    /// The shard owner, which writes the record of this machine.
-    ShardOwner(MachineId),
+    /// The shard owner, for this write of a machine's record.
+    ShardOwner(RecordWrite),
     /// Leader election and the assignment of shards.
     Leadership,
     /// The write of a batch with the plans of these jobs.
--- a/src/controller/messages.rs
+++ b/src/controller/messages.rs
@@ -137,8 +137,8 @@
         let mut queue = VecDeque::from(out);
         while let Some(effect) = queue.pop_front() {
             match effect {
-                worker_control::Effect::Txn { machine, txn } => effects.push(Effect::Txn {
-                    requester: TxnRequester::ShardOwner(machine),
+                worker_control::Effect::Txn { write, txn } => effects.push(Effect::Txn {
+                    requester: TxnRequester::ShardOwner(write),
                     class: RequestClass::Place,
                     txn,
                 }),
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -1,18 +1,33 @@
+mod late_outcomes;
+
 use super::*;
 use crate::config::tests::sample_config;
 use crate::ids::{
-    AttemptNumber, CancellationRoundId, HeartbeatSequence, ShardId, TaskAttempt, TaskId,
-    WorkerEpoch,
+    AttemptNumber, CancellationRoundId, FencingToken, HeartbeatSequence, MemberId, ShardId,
+    TaskAttempt, TaskId, WorkerEpoch,
 };
 use crate::peers::Message;
 use crate::protocol::store::KeyValue;
 use crate::store::records::{LeaderRecord, MachineRecord, MemberRecord, ShardRecord};
+use crate::worker_control::DirectCall;
 
 /// Returns a controller that is the leader and owns every shard. Its watch cache gets no events.
 fn single_controller() -> Controller {
+    owner_under_leader(&sample_config().member)
+}
+
+/// Returns a controller that owns every shard. Its watch cache shows the given leader and gets no events.
+fn owner_under_leader(leader: &MemberId) -> Controller {
     let config = sample_config();
+    let mut controller = Controller::new(&config, Incarnation(1));
+    controller.on_snapshot(MonotonicTime(1), cache_of_owner(&config, leader));
+    controller
+}
+
+/// Returns a watch cache at revision 5 in which the configured controller owns every shard.
+fn cache_of_owner(config: &Config, leader: &MemberId) -> WatchCache {
     let (me, incarnation) = (config.member.clone(), Incarnation(1));
-    let mut cache = WatchCache::new(&config);
+    let mut cache = WatchCache::new(config);
     let mut put = |key: String, value: &dyn erased::Json| {
         cache.load(KeyValue {
             key,
@@ -24,7 +39,7 @@
     let lease = LeaseId(3);
     put(keys::member(&me), &MemberRecord::new(incarnation, lease));
     let leader = LeaderRecord {
-        member: me.clone(),
+        member: leader.clone(),
         incarnation,
     };
     put(keys::LEADER.to_owned(), &leader);
@@ -37,9 +52,7 @@
         put(keys::shard(ShardId(shard)), &record);
     }
     cache.revision = Revision(5);
-    let mut controller = Controller::new(&config, incarnation);
-    controller.on_snapshot(MonotonicTime(1), cache);
-    controller
+    cache
 }
 
 mod erased {
@@ -68,21 +81,25 @@
     }
 }
 
+/// Returns the direct calls among the effects.
+fn sent_calls(effects: &[Effect]) -> Vec<DirectCall> {
+    let calls = effects.iter().filter_map(|effect| match effect {
+        Effect::CallWorker(call) => Some(call.clone()),
+        _ => None,
+    });
+    calls.collect()
+}
+
 /// Guards against a new machine that is never used: it answered its first direct call, but no store event
 /// followed that would have led to its tracking.
 #[test]
 fn machine_is_tracked_after_its_direct_call_without_a_store_event() {
     let mut controller = single_controller();
     let (_, effects) = controller.on_heartbeat(MonotonicTime(1000), &heartbeat(0));
-    let asked = effects.iter().any(|e| matches!(e, Effect::CallWorker(_)));
-    assert!(asked && controller.shard_owner.tracked_count() == 0);
+    let probe = sent_calls(&effects).pop().expect("probe");
+    assert_eq!(controller.shard_owner.tracked_count(), 0);
     let done = DirectCallOutcome::Done(heartbeat(5));
-    controller.on_direct_call_outcome(
-        MonotonicTime(1010),
-        &"vm-1".into(),
-        FencingToken::of(Revision(5), 0),
-        done,
-    );
+    controller.on_direct_call_outcome(MonotonicTime(1010), &probe.sent, done);
     controller.tick(MonotonicTime(1500), crate::ids::UnixTime(1500));
     assert_eq!(controller.shard_owner.tracked_count(), 1);
 }
--- a/src/daemon/effects.rs
+++ b/src/daemon/effects.rs
@@ -53,13 +53,12 @@
         let outcome = match call.addr.parse() {
             Err(_) => DirectCallOutcome::NotSent,
             Ok(addr) => {
-                let body = protocol::encode_commands(call.token, Some(call.epoch), &call.commands);
+                let body =
+                    protocol::encode_commands(call.sent.token, Some(call.epoch), &call.commands);
                 self.call_worker(addr, &body).await
             }
         };
-        self.update(|controller, now| {
-            controller.on_direct_call_outcome(now, &call.machine, call.token, outcome)
-        });
+        self.update(|controller, now| controller.on_direct_call_outcome(now, &call.sent, outcome));
     }
 
     async fn call_worker(&self, addr: SocketAddr, body: &[u8]) -> DirectCallOutcome {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -12,7 +12,7 @@
 };
 pub(crate) use numbers::{
     AttemptNumber, CancellationRoundId, FencingToken, ForwardedRequestId, HeartbeatSequence,
-    Incarnation, LeaseId, Revision, ShardFence, ShardId, WorkerEpoch,
+    Incarnation, LeaseId, RequestId, Revision, ShardFence, ShardId, WorkerEpoch,
 };
 pub(crate) use resources::Resources;
 pub(crate) use tasks::{TaskAttempt, TaskId};
--- a/src/ids/numbers.rs
+++ b/src/ids/numbers.rs
@@ -41,6 +41,9 @@
     /// The id of a cancellation round, in which a controller informs the others of a cancellation
     /// and collects their acknowledgements. It is unique within one process of the controller.
     CancellationRoundId,
+    /// The id of a direct call to a worker or of a write of a machine's record. It is unique within one
+    /// process of the controller, which matches the outcome to the request by it.
+    RequestId,
     /// The id of a request that a controller has forwarded to a peer. It is unique among all processes
     /// of the controller.
     ForwardedRequestId,
--- a/src/simulation/digest_recorder.rs
+++ b/src/simulation/digest_recorder.rs
@@ -37,8 +37,9 @@
         match effect {
             Effect::Txn { txn, .. } => self.add_json(node, 0, txn),
             Effect::CallWorker(call) => {
-                self.add_json(node, 1, &(&call.machine, &call.addr));
-                let body = protocol::encode_commands(call.token, Some(call.epoch), &call.commands);
+                self.add_json(node, 1, &(&call.sent.machine, &call.addr));
+                let body =
+                    protocol::encode_commands(call.sent.token, Some(call.epoch), &call.commands);
                 self.add(node, 1, &body);
             }
             Effect::SendToPeer(to, message) => {
--- a/src/simulation/effects.rs
+++ b/src/simulation/effects.rs
@@ -49,8 +49,9 @@
                 let ms = self.pick(REQUEST_MS.0, REQUEST_MS.1);
                 let call = DirectCall {
                     caller,
-                    machine: call.machine,
-                    token: call.token,
+                    machine: call.sent.machine,
+                    id: call.sent.id,
+                    token: call.sent.token,
                     epoch: call.epoch,
                     commands: call.commands,
                     redeliveries: 0,
@@ -178,13 +179,10 @@
         let now = self.now;
         let DirectCallResponse {
             caller,
-            machine,
-            token,
+            call,
             outcome,
         } = response;
-        self.with_controller(caller, |c| {
-            c.on_direct_call_outcome(now, &machine, token, outcome)
-        });
+        self.with_controller(caller, |c| c.on_direct_call_outcome(now, &call, outcome));
     }
 
     /// Delivers a message to a controller.
--- a/src/simulation/events.rs
+++ b/src/simulation/events.rs
@@ -3,12 +3,14 @@
 use super::fake_services::{ForwardTimeout, ForwardedAnswer, ForwardedHeartbeat};
 use crate::api::dependencies::CancellationCascade;
 use crate::controller::{Effect, TxnRequester};
-use crate::ids::{CancellationRoundId, FencingToken, JobId, MachineId, MonotonicTime, WorkerEpoch};
+use crate::ids::{
+    CancellationRoundId, FencingToken, JobId, MachineId, MonotonicTime, RequestId, WorkerEpoch,
+};
 use crate::peers::Message;
 use crate::protocol::store::Txn;
 use crate::protocol::{Command, Heartbeat, JobSpec};
 use crate::store::TxnOutcome;
-use crate::worker_control::DirectCallOutcome;
+use crate::worker_control::{DirectCallOutcome, SentCall};
 
 /// Identifies one process of a controller. Responses to an earlier process of the same node are
 /// dropped.
@@ -58,6 +60,8 @@
     pub caller: ControllerProcess,
     /// The machine that the commands are for.
     pub machine: MachineId,
+    /// The id of the call.
+    pub id: RequestId,
     /// The shard owner's fencing token.
     pub token: FencingToken,
     /// The worker's epoch that the commands are for.
@@ -72,10 +76,8 @@
 pub(super) struct DirectCallResponse {
     /// The process that receives the outcome.
     pub caller: ControllerProcess,
-    /// The machine that the commands were for.
-    pub machine: MachineId,
-    /// The fencing token of the call.
-    pub token: FencingToken,
+    /// The call that this is the response to.
+    pub call: SentCall,
     /// The outcome of the call.
     pub outcome: DirectCallOutcome,
 }
--- a/src/simulation/fake_services/direct_calls.rs
+++ b/src/simulation/fake_services/direct_calls.rs
@@ -5,7 +5,7 @@
 use crate::simulation::events::{DirectCall, DirectCallResponse, SimulationEvent};
 use crate::simulation::guards::DisabledGuard;
 use crate::simulation::timing::CALL_TIMEOUT_MS;
-use crate::worker_control::DirectCallOutcome;
+use crate::worker_control::{DirectCallOutcome, SentCall};
 
 /// Percent of the calls that arrive long after their sender timed out, under the fault
 /// `lost_responses`.
@@ -119,8 +119,11 @@
     fn respond_to_call(&mut self, call: &DirectCall, ms: u64, outcome: DirectCallOutcome) {
         let response = DirectCallResponse {
             caller: call.caller,
-            machine: call.machine.clone(),
-            token: call.token,
+            call: SentCall {
+                machine: call.machine.clone(),
+                id: call.id,
+                token: call.token,
+            },
             outcome,
         };
         self.schedule_in(ms, SimulationEvent::DirectCallResponse(response));
--- a/src/worker_control/machine_tracker/direct_calls.rs
+++ b/src/worker_control/machine_tracker/direct_calls.rs
@@ -1,13 +1,19 @@
 //! The direct call that is in flight to a machine, and the time of the next one.
 
-use crate::ids::MonotonicTime;
+use crate::ids::{MonotonicTime, RequestId};
 use crate::protocol::Command;
 
+/// A call that has no outcome yet.
+#[derive(Debug)]
+struct CallInFlight {
+    id: RequestId,
+    commands: Vec<Command>,
+}
+
 /// The state of the direct calls to one machine. Only one call is in flight at a time.
 #[derive(Debug)]
 pub(in crate::worker_control) struct DirectCalls {
-    /// The commands of the call in flight. `None` if no call is in flight.
-    in_flight: Option<Vec<Command>>,
+    in_flight: Option<CallInFlight>,
     next_at: MonotonicTime,
 }
 
@@ -28,16 +34,20 @@
     /// Records that a call with these commands is sent. The next call is not sent before `next_at`.
     pub(in crate::worker_control) fn begin(
         &mut self,
+        id: RequestId,
         commands: Vec<Command>,
         next_at: MonotonicTime,
     ) {
-        self.in_flight = Some(commands);
+        self.in_flight = Some(CallInFlight { id, commands });
         self.next_at = next_at;
     }
 
-    /// Records that the call in flight has an outcome and returns its commands.
-    pub(in crate::worker_control) fn finish(&mut self) -> Vec<Command> {
-        self.in_flight.take().unwrap_or_default()
+    /// Records that a call has an outcome and returns its commands. Returns `None` if the call in
+    /// flight is another one: the outcome is that of a call which an earlier tracker of the machine
+    /// has sent.
+    pub(in crate::worker_control) fn finish(&mut self, id: RequestId) -> Option<Vec<Command>> {
+        let call = self.in_flight.take_if(|call| call.id == id)?;
+        Some(call.commands)
     }
 
     /// Sets the earliest time of the next call.
--- a/src/worker_control/machine_tracker/record_writes.rs
+++ b/src/worker_control/machine_tracker/record_writes.rs
@@ -1,6 +1,6 @@
 //! Unwritten changes to a machine's record, and the transaction that writes them.
 
-use crate::ids::{Millis, MonotonicTime, Resources, Revision, TaskAttempt};
+use crate::ids::{Millis, MonotonicTime, RequestId, Resources, Revision, TaskAttempt};
 use crate::peers::AttemptOutcome;
 use crate::store::records::MachineRecord;
 
@@ -117,6 +117,8 @@
 /// A transaction in flight.
 #[derive(Debug)]
 pub(in crate::worker_control) struct PendingTxn {
+    /// The id of the write.
+    pub(in crate::worker_control) id: RequestId,
     /// The machine's record with the changes.
     pub(in crate::worker_control) record: MachineRecord,
     /// The placements that the transaction removes.
@@ -193,9 +195,11 @@
         self.in_flight = Some(pending);
     }
 
-    /// Records that the transaction in flight has an outcome and returns the transaction.
-    pub(in crate::worker_control) fn finish(&mut self) -> Option<PendingTxn> {
-        self.in_flight.take()
+    /// Records that a write has an outcome and returns its transaction. Returns `None` if the
+    /// transaction in flight is another one: the outcome is that of a write which an earlier tracker of
+    /// the machine has sent.
+    pub(in crate::worker_control) fn finish(&mut self, id: RequestId) -> Option<PendingTxn> {
+        self.in_flight.take_if(|pending| pending.id == id)
     }
 
     /// Delays the next write by [`TXN_RETRY_DELAY`].
--- a/src/worker_control/mod.rs
+++ b/src/worker_control/mod.rs
@@ -6,5 +6,6 @@
 mod shard_owner;
 
 pub(crate) use shard_owner::{
-    DirectCall, DirectCallOutcome, Effect, HeartbeatAnswer, HeartbeatPath, ShardOwner,
+    DirectCall, DirectCallOutcome, Effect, HeartbeatAnswer, HeartbeatPath, RecordWrite, SentCall,
+    ShardOwner,
 };
--- a/src/worker_control/shard_owner.rs
+++ b/src/worker_control/shard_owner.rs
@@ -14,11 +14,15 @@
 mod transactions;
 mod write_queue;
 
-pub(crate) use effects::{DirectCall, DirectCallOutcome, Effect, HeartbeatAnswer, HeartbeatPath};
+pub(crate) use effects::{
+    DirectCall, DirectCallOutcome, Effect, HeartbeatAnswer, HeartbeatPath, RecordWrite, SentCall,
+};
 
 use super::machine_tracker::{MachineTracker, RecordLimits};
 use crate::config::Config;
-use crate::ids::{Incarnation, MachineId, MemberId, Millis, MonotonicTime, Revision, ShardId};
+use crate::ids::{
+    Incarnation, MachineId, MemberId, Millis, MonotonicTime, RequestId, Revision, ShardId,
+};
 use crate::store::watch_cache::WatchCache;
 use allotments::WaitingAllotment;
 use std::collections::{BTreeMap, BTreeSet};
@@ -45,6 +49,8 @@
     write_queue: WriteQueue,
     /// Machines without a record and the time of their last probe.
     probed: BTreeMap<MachineId, MonotonicTime>,
+    /// The id of the last direct call or record write.
+    last_request: RequestId,
     /// Revision of the leader's record when ended attempts were last reported.
     leader: Option<Revision>,
     /// The owned shards and their fences at the last comparison with the trackers.
@@ -81,6 +87,7 @@
             trackers: BTreeMap::new(),
             write_queue: WriteQueue::new(config.store_limits.rates.writes),
             probed: BTreeMap::new(),
+            last_request: RequestId(0),
             leader: None,
             owned_shards: BTreeMap::new(),
             waiting_allotments: Vec::new(),
@@ -111,6 +118,12 @@
         is_owner.then_some(record.revision)
     }
 
+    /// Returns the id of the next direct call or record write.
+    fn next_request(&mut self) -> RequestId {
+        self.last_request.0 += 1;
+        self.last_request
+    }
+
     /// Updates the trackers to the shards that this controller owns according to the watch cache,
     /// and performs the actions that are due by time.
     pub(crate) fn reconcile(
--- a/src/worker_control/shard_owner/calls.rs
+++ b/src/worker_control/shard_owner/calls.rs
@@ -1,8 +1,8 @@
 //! Handling of the outcomes of direct calls.
 
 use super::health::machine_health;
-use super::{DirectCallOutcome, Effect, ShardOwner};
-use crate::ids::{FencingToken, MachineId, Millis, MonotonicTime};
+use super::{DirectCallOutcome, Effect, SentCall, ShardOwner};
+use crate::ids::{Millis, MonotonicTime};
 use crate::peers::Message;
 use crate::protocol::Heartbeat;
 use crate::store::machine_record::MachineRecord;
@@ -16,24 +16,25 @@
 const REJECTED_CALL_DELAY: Millis = Millis(50);
 
 impl ShardOwner {
-    /// Handles the outcome of a call that was sent under the given token.
+    /// Handles the outcome of a call.
     pub(crate) fn on_direct_call_outcome(
         &mut self,
         now: MonotonicTime,
-        id: &MachineId,
-        token: FencingToken,
+        call: &SentCall,
         outcome: DirectCallOutcome,
         cache: &WatchCache,
         out: &mut Vec<Effect>,
     ) {
+        let id = &call.machine;
+        let outcome = outcome.of_machine(id);
         let Some(tracker) = self.trackers.get_mut(id) else {
             if let DirectCallOutcome::Done(heartbeat) = &outcome {
-                self.report_discovered(id, token, heartbeat, cache, out);
+                self.report_discovered(call, heartbeat, cache, out);
             }
             return;
         };
         let was_confirmed = tracker.is_confirmed();
-        apply_outcome(tracker, token, outcome, now);
+        apply_outcome(tracker, call, outcome, now);
         if tracker.is_confirmed() && !was_confirmed {
             let message = Message::Health(vec![machine_health(id, tracker, now, cache)]);
             out.push(Effect::ToLeader(message));
@@ -45,14 +46,14 @@
     /// Handles a probe's answer from a machine without a record.
     fn report_discovered(
         &self,
-        id: &MachineId,
-        token: FencingToken,
+        call: &SentCall,
         heartbeat: &Heartbeat,
         cache: &WatchCache,
         out: &mut Vec<Effect>,
     ) {
-        let owned = self.fence(cache, id.shard(self.shards)) == Some(token.fence());
-        if owned && !cache.machines.contains_key(id) && heartbeat.machine == *id {
+        let id = &call.machine;
+        let owned = self.fence(cache, id.shard(self.shards)) == Some(call.token.fence());
+        if owned && !cache.machines.contains_key(id) {
             let record = MachineRecord::new(
                 &heartbeat.addr,
                 &heartbeat.type_name,
@@ -65,35 +66,50 @@
 }
 
 /// Records a call's outcome in the machine's tracker. If the token has changed since the call, the
-/// outcome says nothing about the tracker's launches.
+/// outcome says nothing about the tracker's launches. Of the outcome of a call that an earlier tracker
+/// has sent, only the worker's status counts.
 fn apply_outcome(
     tracker: &mut MachineTracker,
-    token: FencingToken,
+    call: &SentCall,
     outcome: DirectCallOutcome,
     now: MonotonicTime,
 ) {
-    let commands = tracker.calls_mut().finish();
+    let Some(commands) = tracker.calls_mut().finish(call.id) else {
+        if let Some(heartbeat) = status_of(&outcome) {
+            apply_answer(tracker, heartbeat, now);
+        }
+        return;
+    };
     let launches = match &outcome {
         DirectCallOutcome::Done(_) => DirectLaunch::Answered,
         DirectCallOutcome::Rejected(_) | DirectCallOutcome::NotSent => DirectLaunch::NotExecuted,
         DirectCallOutcome::Unknown => DirectLaunch::Unknown,
     };
-    if tracker.token() == token {
+    if tracker.token() == call.token {
         tracker.record_launch_outcomes(&commands, launches);
     }
     match outcome {
-        DirectCallOutcome::Done(heartbeat) => apply_answer(tracker, &heartbeat, now),
-        DirectCallOutcome::Rejected(heartbeat) => {
+        DirectCallOutcome::Done(_) => {}
+        DirectCallOutcome::Rejected(_) => {
             tracker.calls_mut().set_next(now + REJECTED_CALL_DELAY);
-            if let Some(heartbeat) = heartbeat {
-                apply_answer(tracker, &heartbeat, now);
-            }
         }
         DirectCallOutcome::NotSent | DirectCallOutcome::Unknown => {
             tracker.on_failed_call();
             tracker.calls_mut().set_next(now + CALL_RETRY_DELAY);
         }
     }
+    if let Some(heartbeat) = status_of(&outcome) {
+        apply_answer(tracker, heartbeat, now);
+    }
+}
+
+/// Returns the worker's status in the outcome of a call.
+fn status_of(outcome: &DirectCallOutcome) -> Option<&Heartbeat> {
+    match outcome {
+        DirectCallOutcome::Done(heartbeat) => Some(heartbeat),
+        DirectCallOutcome::Rejected(heartbeat) => heartbeat.as_ref(),
+        DirectCallOutcome::NotSent | DirectCallOutcome::Unknown => None,
+    }
 }
 
 fn apply_answer(tracker: &mut MachineTracker, heartbeat: &Heartbeat, now: MonotonicTime) {
--- a/src/worker_control/shard_owner/commands.rs
+++ b/src/worker_control/shard_owner/commands.rs
@@ -1,7 +1,7 @@
 //! Commands to workers, sent in heartbeat responses and by direct call.
 
 use super::calls::CALL_RETRY_DELAY;
-use super::{DirectCall, Effect, ShardOwner};
+use super::{DirectCall, Effect, SentCall, ShardOwner};
 use crate::ids::{MachineId, Millis, MonotonicTime, TaskAttempt};
 use crate::protocol::{Command, TaskState};
 use crate::store::watch_cache::{LiveMachine, WatchCache};
@@ -109,14 +109,20 @@
         next_at: MonotonicTime,
         out: &mut Vec<Effect>,
     ) {
+        let request = self.next_request();
         let Some(tracker) = self.trackers.get_mut(id) else {
             return;
         };
-        tracker.calls_mut().begin(commands.clone(), next_at);
+        tracker
+            .calls_mut()
+            .begin(request, commands.clone(), next_at);
         out.push(Effect::CallWorker(DirectCall {
-            machine: id.clone(),
+            sent: SentCall {
+                machine: id.clone(),
+                id: request,
+                token: tracker.token(),
+            },
             addr: tracker.addr().to_owned(),
-            token: tracker.token(),
             epoch: tracker.epoch(),
             commands,
         }));
--- a/src/worker_control/shard_owner/effects.rs
+++ b/src/worker_control/shard_owner/effects.rs
@@ -1,6 +1,6 @@
 //! Effects that a shard owner requests, and the types of their outcomes.
 
-use crate::ids::{FencingToken, MachineId, MemberId, ShardId, WorkerEpoch};
+use crate::ids::{FencingToken, MachineId, MemberId, RequestId, ShardId, WorkerEpoch};
 use crate::peers::Message;
 use crate::protocol::store::Txn;
 use crate::protocol::{Command, Heartbeat};
@@ -11,8 +11,8 @@
 pub(crate) enum Effect {
     /// Run a transaction; its outcome goes to [`super::ShardOwner::on_txn_outcome`].
     Txn {
-        /// The machine whose record it writes.
-        machine: MachineId,
+        /// The record that it writes.
+        write: RecordWrite,
         /// The transaction.
         txn: Txn,
     },
@@ -31,15 +31,35 @@
     RaiseShardFence(ShardId),
 }
 
-/// Commands that are sent to a worker by direct call, not in a heartbeat response.
+/// Identifies a write of a machine's record, for its outcome.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RecordWrite {
+    /// The machine.
+    pub machine: MachineId,
+    /// The id of the write. A machine that is tracked anew may still get the outcome of a write of its
+    /// earlier tracker.
+    pub id: RequestId,
+}
+
+/// Identifies a direct call, for its outcome.
 #[derive(Clone, Debug)]
-pub(crate) struct DirectCall {
+pub(crate) struct SentCall {
     /// The worker's machine.
     pub machine: MachineId,
-    /// Where the worker takes direct commands: address and port.
-    pub addr: String,
+    /// The id of the call. A machine that is tracked anew may still get the outcome of a call of its
+    /// earlier tracker.
+    pub id: RequestId,
     /// The fencing token of the commands. The worker adopts it if it is higher than its own.
     pub token: FencingToken,
+}
+
+/// Commands that are sent to a worker by direct call, not in a heartbeat response.
+#[derive(Clone, Debug)]
+pub(crate) struct DirectCall {
+    /// The worker's machine, the id and the fencing token of the call.
+    pub sent: SentCall,
+    /// Where the worker takes direct commands: address and port.
+    pub addr: String,
     /// The worker epoch that the commands are meant for.
     pub epoch: WorkerEpoch,
     /// The commands. An empty list is a probe, which the worker answers with its status.
@@ -77,3 +97,19 @@
     /// No answer arrived. The commands may have been executed or may still be executed later.
     Unknown,
 }
+
+impl DirectCallOutcome {
+    /// Returns the outcome for the machine that the call was meant for. If another machine has
+    /// answered, which was given the address of the first one, its status says nothing about the
+    /// machine that was meant.
+    pub(super) fn of_machine(self, machine: &MachineId) -> Self {
+        let answered_by_other = match &self {
+            Self::Done(status) | Self::Rejected(Some(status)) => status.machine != *machine,
+            Self::Rejected(None) | Self::NotSent | Self::Unknown => false,
+        };
+        match answered_by_other {
+            true => Self::Unknown,
+            false => self,
+        }
+    }
+}
--- a/src/worker_control/shard_owner/heartbeats.rs
+++ b/src/worker_control/shard_owner/heartbeats.rs
@@ -1,7 +1,7 @@
 //! Handling of worker heartbeats.
 
 use super::health::machine_health;
-use super::{DirectCall, Effect, HeartbeatAnswer, HeartbeatPath, ShardOwner};
+use super::{DirectCall, Effect, HeartbeatAnswer, HeartbeatPath, SentCall, ShardOwner};
 use crate::ids::{FencingToken, MachineId, MemberId, Millis, MonotonicTime, Revision};
 use crate::peers::Message;
 use crate::protocol::Heartbeat;
@@ -138,10 +138,14 @@
             return;
         }
         self.probed.insert(heartbeat.machine.clone(), now);
-        out.push(Effect::CallWorker(DirectCall {
+        let sent = SentCall {
             machine: heartbeat.machine.clone(),
-            addr: heartbeat.addr.clone(),
+            id: self.next_request(),
             token: token_at_least(fence, heartbeat),
+        };
+        out.push(Effect::CallWorker(DirectCall {
+            sent,
+            addr: heartbeat.addr.clone(),
             epoch: heartbeat.epoch,
             commands: Vec::new(),
         }));
--- a/src/worker_control/shard_owner/record_commits.rs
+++ b/src/worker_control/shard_owner/record_commits.rs
@@ -1,7 +1,7 @@
 //! Scheduling of machine record writes, and the transactions that perform them.
 
 use super::records::{attempt_outcome, needs_touch};
-use super::{Effect, ShardOwner};
+use super::{Effect, RecordWrite, ShardOwner};
 use crate::ids::{MachineId, Millis, MonotonicTime, TaskAttempt};
 use crate::peers::AttemptOutcome;
 use crate::protocol::JobKind;
@@ -85,6 +85,7 @@
         out: &mut Vec<Effect>,
     ) -> bool {
         self.write_queue.remove(id);
+        let request = self.next_request();
         let (Some(tracker), Some(machine)) = (self.trackers.get_mut(id), cache.machines.get(id))
         else {
             return false;
@@ -113,14 +114,16 @@
         txn.put(keys::machine(id), &record, None);
         let fence = tracker.fence();
         tracker.writes_mut().begin(PendingTxn {
+            id: request,
             record,
             ended,
             fence,
         });
-        out.push(Effect::Txn {
+        let write = RecordWrite {
             machine: id.clone(),
-            txn,
-        });
+            id: request,
+        };
+        out.push(Effect::Txn { write, txn });
         true
     }
 }
--- a/src/worker_control/shard_owner/transactions.rs
+++ b/src/worker_control/shard_owner/transactions.rs
@@ -1,6 +1,6 @@
 //! Handling of the outcomes of machine record transactions.
 
-use super::{Effect, ShardOwner};
+use super::{Effect, RecordWrite, ShardOwner};
 use crate::ids::{MachineId, MachineTypeName, Millis, MonotonicTime, Revision};
 use crate::peers::{EndedAttempt, Message};
 use crate::store::TxnOutcome;
@@ -8,19 +8,20 @@
 use crate::worker_control::machine_tracker::{EndedPlacement, MachineTracker, PendingTxn};
 
 impl ShardOwner {
-    /// Handles the outcome of the transaction on a machine's record.
+    /// Handles the outcome of a write of a machine's record.
     pub(crate) fn on_txn_outcome(
         &mut self,
         now: MonotonicTime,
-        id: &MachineId,
+        write: &RecordWrite,
         outcome: &TxnOutcome,
         cache: &mut WatchCache,
         out: &mut Vec<Effect>,
     ) {
+        let id = &write.machine;
         let Some(tracker) = self.trackers.get_mut(id) else {
             return;
         };
-        let Some(pending) = tracker.writes_mut().finish() else {
+        let Some(pending) = tracker.writes_mut().finish(write.id) else {
             return;
         };
         match outcome {
