--- a/src/controller/tests/late_outcomes.rs
+++ b/src/controller/tests/late_outcomes.rs
@@ -1,4 +1,5 @@
-//! Outcomes of direct calls and record writes that arrive after their machine was tracked anew.
+//! Outcomes of direct calls and record writes that arrive after their machine was tracked anew, and a
+//! watch cache that is loaded again while a launch is in flight.
 //!
 //! A shard owner whose lease expires loses its shards and may get them back within a second, in the
 //! same process. The calls and writes of its earlier trackers are still in flight then.
@@ -327,3 +328,35 @@
         assert_eq!(owner.take_writes(), [], "{late_outcome:?}");
     }
 }
+
+/// Guards against a task that runs on two machines: its direct launch has no answer when the watch
+/// cache is loaded again from pages that were read before the machine's first record was written. The
+/// machine was then tracked anew under the same token, and the launch was forgotten.
+#[test]
+fn launch_in_flight_is_remembered_when_the_watch_cache_is_loaded_again() {
+    let mut owner = Owner::new();
+    owner.heartbeat(Revision(0));
+    for _ in ["machine without a record", "machine that is tracked"] {
+        let probe = owner.take_calls().pop().expect("a probe");
+        let status = owner.status(FIRST_FENCE);
+        owner.finish_call(&probe, DirectCallOutcome::Done(status));
+        owner.tick_for(1000);
+    }
+    owner.allot(1, FIRST_FENCE);
+    let write = owner.take_writes().pop().expect("the first record");
+    owner.finish_write(&write, &TxnOutcome::Committed(Revision(14)));
+    owner.tick_for(1000);
+    let call = owner.take_calls().pop().expect("a launch");
+    assert_eq!(launches(std::slice::from_ref(&call)), 1);
+    owner.input(|c, now| c.on_snapshot(now, cache_without_machines()));
+    owner.tick_for(200);
+    owner.finish_call(&call, DirectCallOutcome::Unknown);
+    owner.heartbeat(FIRST_FENCE);
+    let mut record = MachineRecord::new("1.1.1.1:1", &"t8".into(), &"a".into(), false);
+    record.add(&attempt(1), &crate::protocol::tests::spec(JOB));
+    owner.events(vec![put(keys::machine(&machine()), &record, Revision(14))]);
+    owner.heartbeat(FIRST_FENCE);
+    owner.tick_for(1000);
+    assert!(!owner.has_reported_attempts());
+    assert_eq!(owner.take_writes(), [], "the placement is removed");
+}
--- a/src/simulation/cluster.rs
+++ b/src/simulation/cluster.rs
@@ -233,6 +233,7 @@
             Event::ControllerStart(node) => self.start_controller(node),
             Event::ControllerTick(node) => self.tick_controller(node),
             Event::WatchPoll(node) => self.poll_watch(node),
+            Event::WatchCacheLoaded(process, cache) => self.replace_watch_cache(process, *cache),
             Event::LeaseRenewal(node) => self.renew_lease(node),
             Event::TxnRequest(request) => self.receive_txn(request),
             Event::TxnResponse(response) => self.receive_txn_response(&response),
--- a/src/simulation/controller_processes.rs
+++ b/src/simulation/controller_processes.rs
@@ -11,6 +11,7 @@
 use crate::protocol::store::Txn;
 use crate::store::keys;
 use crate::store::records::{MemberRecord, ProgramVersion};
+use crate::store::watch_cache::WatchCache;
 
 /// The interval between ticks of a controller, in ms.
 const TICK_MS: u64 = 25;
@@ -19,6 +20,10 @@
 /// The lag of the watch, in ms, normally and while the store is slow.
 const WATCH_LAG_MS: (u64, u64) = (2, 12);
 const SLOW_WATCH_LAG_MS: (u64, u64) = (200, 3000);
+/// Under the fault `watch_cache_reloads`, one of so many polls of the watch loads the watch cache again,
+/// and the time that it takes, in ms.
+const RELOAD_ONE_POLL_IN: u64 = 100;
+const RELOAD_MS: (u64, u64) = (20, 600);
 
 impl SimulatedCluster {
     /// Returns the process that currently runs on a node.
@@ -66,6 +71,7 @@
         });
         n.generation += 1;
         n.watched_revision = Revision(0);
+        n.is_loading_watch_cache = false;
         n.final_records_seen.clear();
         let mut controller = Controller::new(&n.config, incarnation);
         let snapshot = self.store.snapshot(&n.config, n.earlier_version);
@@ -147,12 +153,40 @@
         }
     }
 
+    /// Reads a controller's watch cache from the key-value store again. While it is read, the watch
+    /// delivers nothing.
+    fn load_watch_cache(&mut self, node: usize) {
+        let n = &mut self.nodes[node];
+        let cache = self.store.snapshot(&n.config, n.earlier_version);
+        n.watched_revision = self.store.revision;
+        n.is_loading_watch_cache = true;
+        self.observed.fault_occurrences += 1;
+        let process = self.process(node);
+        let ms = self.pick(RELOAD_MS.0, RELOAD_MS.1);
+        let loaded = SimulationEvent::WatchCacheLoaded(process, Box::new(cache));
+        self.schedule_in(ms, loaded);
+    }
+
+    /// Replaces a controller's watch cache and goes on with the watch.
+    pub(super) fn replace_watch_cache(&mut self, process: ControllerProcess, cache: WatchCache) {
+        let now = self.now;
+        if self.nodes[process.node].generation == process.generation {
+            self.nodes[process.node].is_loading_watch_cache = false;
+            self.with_controller(process, |c| c.on_snapshot(now, cache));
+            self.schedule_in(1, SimulationEvent::WatchPoll(process.node));
+        }
+    }
+
     /// Delivers to a controller the changes since its last watched revision.
     pub(super) fn poll_watch(&mut self, node: usize) {
-        if self.nodes[node].controller.is_none() {
+        let n = &self.nodes[node];
+        if n.controller.is_none() || n.is_loading_watch_cache {
             return;
         }
         if self.nodes[node].store_cut_until <= self.now {
+            if self.faults.watch_cache_reloads && self.pick(1, RELOAD_ONE_POLL_IN) == 1 {
+                return self.load_watch_cache(node);
+            }
             let n = &mut self.nodes[node];
             let events = self.store.events(n.watched_revision, n.earlier_version);
             let revision = self.store.revision;
--- a/src/simulation/events.rs
+++ b/src/simulation/events.rs
@@ -10,6 +10,7 @@
 use crate::protocol::store::Txn;
 use crate::protocol::{Command, Heartbeat, JobSpec};
 use crate::store::TxnOutcome;
+use crate::store::watch_cache::WatchCache;
 use crate::worker_control::{DirectCallOutcome, SentCall};
 
 /// Identifies one process of a controller. Responses to an earlier process of the same node are
@@ -159,6 +160,8 @@
     ControllerTick(usize),
     /// The watch of a controller delivers changes.
     WatchPoll(usize),
+    /// A controller has loaded its watch cache again.
+    WatchCacheLoaded(ControllerProcess, Box<WatchCache>),
     /// A controller renews its lease.
     LeaseRenewal(usize),
     /// A transaction arrives at the key-value store.
@@ -235,6 +238,7 @@
             | Self::WatchPoll(node)
             | Self::LeaseRenewal(node)
             | Self::DuplicateHeartbeat(node, _) => Some(*node),
+            Self::WatchCacheLoaded(process, _) => Some(process.node),
             Self::TxnResponse(response) => Some(response.caller.node),
             Self::DirectCallResponse(response) => Some(response.caller.node),
             Self::Peer(delivery) => Some(delivery.to),
--- a/src/simulation/faults.rs
+++ b/src/simulation/faults.rs
@@ -51,6 +51,9 @@
     /// Forwarded heartbeats and their responses are held up on their way for seconds, and the
     /// controllers that wait for the responses restart within a fraction of a second.
     pub late_forwarded_responses: bool,
+    /// Controllers load their watch caches again, from a state of the key-value store that is some
+    /// hundred milliseconds old when they have read it.
+    pub watch_cache_reloads: bool,
     /// Users submit jobs that depend on other jobs.
     pub dependent_jobs: bool,
     /// Controllers start as the earlier version and are upgraded one at a time.
@@ -82,6 +85,7 @@
         cancel_at_completion: false,
         zone_partition: false,
         late_forwarded_responses: false,
+        watch_cache_reloads: false,
         dependent_jobs: false,
         rolling_upgrade: false,
         lowered_store_limits: false,
@@ -109,6 +113,7 @@
         control_plane_outage: true,
         cancel_at_completion: true,
         zone_partition: false,
+        watch_cache_reloads: false,
         late_forwarded_responses: false,
         dependent_jobs: false,
         rolling_upgrade: false,
--- a/src/simulation/node.rs
+++ b/src/simulation/node.rs
@@ -20,6 +20,8 @@
     pub generation: u64,
     /// The last revision that the watch has delivered.
     pub watched_revision: Revision,
+    /// Whether the process is loading its watch cache again.
+    pub is_loading_watch_cache: bool,
     /// The lease of the running process.
     pub lease: Option<LeaseId>,
     /// The lease of the previous process, until the new process revokes it.
@@ -56,6 +58,7 @@
             controller: None,
             generation: 0,
             watched_revision: Revision(0),
+            is_loading_watch_cache: false,
             lease: None,
             previous_lease: None,
             store_cut_until: MonotonicTime(0),
--- a/src/simulation/tests/single_faults.rs
+++ b/src/simulation/tests/single_faults.rs
@@ -125,6 +125,29 @@
     assert_invariants_hold_on_seeds("duplicate requests and crashes", 104..108, crashes);
 }
 
+/// Guards against a task that runs on two machines, or in a zone that its job does not allow: a watch
+/// cache that was loaded again lacked machines without a record, and records that this controller had
+/// just written and on the ground of which it had launched tasks.
+#[test]
+fn invariants_hold_when_watch_caches_are_loaded_again() {
+    let reloads = Faults {
+        watch_cache_reloads: true,
+        lost_responses: true,
+        ..Faults::default()
+    };
+    assert_invariants_hold_on_seeds("watch cache reloads", 986..987, reloads);
+    assert_invariants_hold_on_seeds("watch cache reloads", 1404..1412, reloads);
+    let with_more_faults = Faults {
+        machine_failures: true,
+        overload: true,
+        ..reloads
+    };
+    for seed in [269, 610, 848, 1403] {
+        assert_invariants_hold_on_seeds("watch cache reloads", seed..seed + 1, with_more_faults);
+    }
+    assert_invariants_hold_on_seeds("watch cache reloads", 1341..1357, with_more_faults);
+}
+
 #[test]
 fn invariants_hold_under_all_faults() {
     assert_invariants_hold_on_seeds("all", 40..48, Faults::ALL_SINGLE_FAULTS);
