Test: late copies of launches start no moved or cancelled task

By direct call it can't: an exited task stays on the worker's list until its token or epoch has risen, then the copy is rejected.

--- a/src/simulation/fake_services/direct_calls.rs
+++ b/src/simulation/fake_services/direct_calls.rs
@@ -1,6 +1,7 @@
 //! Direct commands from a controller to a worker.
 
 use crate::ids::MonotonicTime;
+use crate::protocol::Command;
 use crate::simulation::cluster::SimulatedCluster;
 use crate::simulation::events::{DirectCall, DirectCallResponse, SimulationEvent};
 use crate::simulation::guards::DisabledGuard;
@@ -84,6 +85,9 @@
         if self.ignores_launches() {
             call.commands.clear();
         }
+        if call.redeliveries > 0 {
+            self.count_late_launches(&call);
+        }
         let Some(worker) = self.workers.get_mut(&call.machine) else {
             return;
         };
@@ -108,6 +112,23 @@
         }
     }
 
+    /// Counts the launches in a late call whose task is on another machine by now, or whose user was
+    /// told that the job is cancelled.
+    fn count_late_launches(&mut self, call: &DirectCall) {
+        for command in &call.commands {
+            let Command::Launch(attempt) = command else {
+                continue;
+            };
+            let mut live = self.live_attempts();
+            let is_moved = live
+                .any(|other| other.attempt.task == attempt.task && *other.machine != call.machine);
+            drop(live);
+            let is_cancelled = self.confirmed_cancellations.contains_key(&attempt.task.job);
+            self.observed.late_launches_of_moved_tasks += u64::from(is_moved);
+            self.observed.late_launches_of_cancelled_tasks += u64::from(is_cancelled);
+        }
+    }
+
     fn time_out_call(&mut self, call: &DirectCall) {
         let outcome = match self.disabled_guard {
             DisabledGuard::LostCallsCountAsUnsent => DirectCallOutcome::NotSent,
--- a/src/simulation/invariants.rs
+++ b/src/simulation/invariants.rs
@@ -13,14 +13,16 @@
 use crate::protocol::{JobSpec, TaskState};
 
 /// A task attempt that has not exited, with its machine.
-struct LiveAttempt<'a> {
-    machine: &'a MachineId,
-    attempt: &'a TaskAttempt,
+pub(super) struct LiveAttempt<'a> {
+    /// The machine.
+    pub(super) machine: &'a MachineId,
+    /// The attempt.
+    pub(super) attempt: &'a TaskAttempt,
 }
 
 impl SimulatedCluster {
     /// Returns all attempts that have not exited, including those on unreachable machines.
-    fn live_attempts(&self) -> impl Iterator<Item = LiveAttempt<'_>> {
+    pub(super) fn live_attempts(&self) -> impl Iterator<Item = LiveAttempt<'_>> {
         let running_workers = self.workers.iter().filter(|(_, worker)| !worker.dead);
         running_workers.flat_map(|(machine, worker)| {
             let tasks = worker.tasks.iter();
--- a/src/simulation/observations.rs
+++ b/src/simulation/observations.rs
@@ -17,6 +17,10 @@
     pub fault_occurrences: u64,
     /// The number of messages and heartbeats relayed around a partition.
     pub relayed_messages: u64,
+    /// The late copies of launches that arrived although their task had been moved to another machine.
+    pub late_launches_of_moved_tasks: u64,
+    /// The late copies of launches that arrived although their job had been cancelled.
+    pub late_launches_of_cancelled_tasks: u64,
     /// The number of running tasks lost because their machine was deleted or its lease expired.
     pub tasks_lost: u64,
     /// The indices of the tasks of each job that have run to completion.
--- a/src/simulation/tests/counted_faults.rs
+++ b/src/simulation/tests/counted_faults.rs
@@ -70,6 +70,36 @@
     );
 }
 
+/// Guards against a late copy of a launch that starts a task although it was carried out and answered
+/// before: the worker was told to forget the exited task, the task was moved to another machine, or its job
+/// was cancelled. Machines hang and lose their leases, and controllers are back within a fraction of a
+/// second.
+#[test]
+fn late_copies_of_launches_start_no_moved_or_cancelled_task() {
+    let late_copies = Faults {
+        duplicate_requests: true,
+        lost_responses: true,
+        machine_failures: true,
+        ..Faults::default()
+    };
+    let with_restarts = Faults {
+        restarts_in_election: true,
+        cancel_at_completion: true,
+        ..late_copies
+    };
+    let (mut moved, mut cancelled) = (0, 0);
+    for faults in [late_copies, with_restarts] {
+        for seed in 230..254 {
+            let cluster = run_simulation(seed, faults, DisabledGuard::None);
+            assert_invariants_hold(&cluster, &format!("late copies, seed {seed}"));
+            moved += cluster.observed.late_launches_of_moved_tasks;
+            cancelled += cluster.observed.late_launches_of_cancelled_tasks;
+        }
+    }
+    println!("late launches: {moved} of moved tasks, {cancelled} of cancelled ones");
+    assert!(moved >= 10 && cancelled >= 10, "{moved} {cancelled}");
+}
+
 #[test]
 fn invariants_hold_with_inbound_only_machines() {
     let inbound_only = Faults {
