Fixed: a watch cache that was loaded again forgot released jobs and reported ends

Callers would see: running tasks of a job that others had to wait for are stopped and start again; a job is called done up to ten seconds late.

A job whose release this controller had just committed was blocked again, so that its tasks on record counted as those of an ended job; ends that owners had reported were forgotten until they were written.

Change: store::watch_cache::reload holds all that is taken over: cancellations, released jobs, machines, reported ends.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -136,8 +136,7 @@
 
     /// Replaces the watch cache by one that was loaded from a new snapshot of the store.
     pub(crate) fn on_snapshot(&mut self, now: MonotonicTime, mut cache: WatchCache) -> Vec<Effect> {
-        cache.copy_cancelled_from(&self.cache);
-        cache.copy_newer_machines_from(&self.cache);
+        cache.take_over_from(&self.cache);
         self.cache = cache;
         self.shard_owner.request_full_reconcile();
         self.timers.schedule.request();
--- a/src/controller/tests/late_outcomes.rs
+++ b/src/controller/tests/late_outcomes.rs
@@ -14,11 +14,11 @@
 };
 use crate::peers::{Allotment, Message};
 use crate::protocol::store::{Event, KeyValue};
-use crate::protocol::{Command, Heartbeat};
+use crate::protocol::{Command, Heartbeat, TaskState, TaskStatus};
 use crate::store::records::{JobRecord, MachineRecord, ShardRecord};
 use crate::store::watch_cache::WatchCache;
 use crate::store::{TxnOutcome, keys};
-use crate::worker_control::{DirectCall, DirectCallOutcome};
+use crate::worker_control::{DirectCall, DirectCallOutcome, HeartbeatAnswer};
 use serde::Serialize;
 
 /// The shard's fence before and after this controller loses and regains the shard.
@@ -59,8 +59,21 @@
     }
 }
 
-/// Returns a watch cache with the shards, the machine types and a job, but without machines.
+/// Returns a watch cache with the shards, the machine types and a job that may run, but without
+/// machines.
 fn cache_without_machines() -> WatchCache {
+    let spec = crate::protocol::tests::spec(JOB);
+    cache_with_job(&JobRecord::new(spec, UnixTime(1)))
+}
+
+/// Returns a watch cache in which the job waits for another one.
+fn cache_with_blocked_job() -> WatchCache {
+    let mut spec = crate::protocol::tests::spec(JOB);
+    spec.dependencies = vec!["job-000009".into()];
+    cache_with_job(&JobRecord::new(spec, UnixTime(1)))
+}
+
+fn cache_with_job(job: &JobRecord) -> WatchCache {
     let mut cache = cache_of_owner(&sample_config(), &leader());
     let mut load = |key: String, value: serde_json::Value, revision| {
         cache.load(KeyValue {
@@ -74,7 +87,6 @@
         {"name": "t8", "cores": 8, "cards": 0, "memory_gb": 32, "cache_gb": 50,
          "fetch_gb_per_s": 1.0, "price": 1.0, "low_price": 0.5, "startup_s": 20, "berths": ["a"]}]});
     load(keys::CATALOG.to_owned(), catalog, Revision(3));
-    let job = JobRecord::new(crate::protocol::tests::spec(JOB), UnixTime(1));
     load(
         keys::job(&JobId::from(JOB)),
         serde_json::json!(job),
@@ -93,24 +105,33 @@
 
 impl Owner {
     fn new() -> Self {
+        Self::with_cache(cache_without_machines())
+    }
+
+    fn with_cache(cache: WatchCache) -> Self {
         let mut owner = Self {
             controller: owner_under_leader(&leader()),
             now: MonotonicTime(1000),
             sequence: 0,
             effects: Vec::new(),
         };
-        owner.input(|c, now| c.on_snapshot(now, cache_without_machines()));
+        owner.input(|c, now| c.on_snapshot(now, cache));
         owner
     }
 
     /// Returns a shard owner of a machine with an empty record at revision 6.
     fn with_machine() -> Self {
         let mut owner = Self::new();
-        let record = MachineRecord::new("1.1.1.1:1", &"t8".into(), &"a".into(), false);
-        owner.events(vec![put(keys::machine(&machine()), &record, Revision(6))]);
+        owner.add_machine();
         owner
     }
 
+    /// Adds the machine with an empty record at revision 6.
+    fn add_machine(&mut self) {
+        let record = MachineRecord::new("1.1.1.1:1", &"t8".into(), &"a".into(), false);
+        self.events(vec![put(keys::machine(&machine()), &record, Revision(6))]);
+    }
+
     fn input(&mut self, input: impl FnOnce(&mut Controller, MonotonicTime) -> Vec<Effect>) {
         self.now.0 += 1;
         let effects = input(&mut self.controller, self.now);
@@ -169,10 +190,14 @@
     }
 
     fn allot(&mut self, number: u64, fence: Revision) {
+        self.allot_at(JOB_REVISION, number, fence);
+    }
+
+    fn allot_at(&mut self, job_revision: Revision, number: u64, fence: Revision) {
         let allotment = Allotment {
             shard: shard(),
             fence,
-            job_revision: JOB_REVISION,
+            job_revision,
             attempts: vec![attempt(number)],
             candidate_machines: vec![machine()],
         };
@@ -360,3 +385,44 @@
     assert!(!owner.has_reported_attempts());
     assert_eq!(owner.take_writes(), [], "the placement is removed");
 }
+
+/// Guards against running tasks that are stopped: their job's release had just been committed by this
+/// controller, and the watch cache that was loaded again showed the job as blocked.
+#[test]
+fn tasks_of_a_released_job_run_on_when_the_watch_cache_is_loaded_again() {
+    let release = Revision(8);
+    let mut owner = Owner::with_cache(cache_with_blocked_job());
+    owner.add_machine();
+    let requester = TxnRequester::DependentRelease(JobId::from(JOB));
+    owner.finish_write(&requester, &TxnOutcome::Committed(release));
+    owner.heartbeat(FIRST_FENCE);
+    owner.allot_at(release, 1, FIRST_FENCE);
+    let write = owner.take_writes().pop().expect("a write");
+    owner.finish_write(&write, &TxnOutcome::Committed(Revision(14)));
+    owner.input(|c, now| c.on_snapshot(now, cache_with_blocked_job()));
+    let mut status = owner.status(FIRST_FENCE);
+    status.tasks.push(TaskStatus {
+        task: attempt(1).task.to_string(),
+        attempt_number: attempt(1).number,
+        state: TaskState::Running,
+        exit_reason: None,
+        saved: None,
+    });
+    let mut answer = None;
+    owner.input(|c, now| {
+        let (heartbeat_answer, effects) = c.on_heartbeat(now, &status);
+        answer = Some(heartbeat_answer);
+        effects
+    });
+    let answer = answer.expect("answer");
+    assert!(
+        matches!(&answer, HeartbeatAnswer::Commands(_, c) if c.is_empty()),
+        "{answer:?}"
+    );
+    owner.tick_for(1000);
+    let stops = owner
+        .take_calls()
+        .into_iter()
+        .flat_map(|call| call.commands);
+    assert_eq!(stops.collect::<Vec<_>>(), []);
+}
--- a/src/simulation/tests/dependent_jobs.rs
+++ b/src/simulation/tests/dependent_jobs.rs
@@ -78,6 +78,19 @@
     assert_eq!(counts.live_at_confirmation, 0);
 }
 
+/// Watch caches that are loaded again may lag behind releases, ends and cancellations that their
+/// controllers have just committed.
+#[test]
+fn invariants_hold_for_dependent_jobs_when_watch_caches_are_loaded_again() {
+    let reloads = Faults {
+        watch_cache_reloads: true,
+        lost_responses: true,
+        ..DEPENDENT_JOBS
+    };
+    let counts = count_dependencies_on_seeds("reloads", THREE_CONTROLLERS, 900..908, reloads);
+    assert_dependencies_exercised(&counts);
+}
+
 /// Enables each fault alone while users submit dependent jobs. After the faults are healed, users
 /// submit no new jobs, and all jobs must end.
 #[test]
--- a/src/store/live_job.rs
+++ b/src/store/live_job.rs
@@ -77,6 +77,14 @@
         }
     }
 
+    /// Returns the job's record.
+    pub(super) fn record(&self) -> JobRecord {
+        let was_released = !self.spec.dependencies.is_empty();
+        let mut record = JobRecord::new((*self.spec).clone(), self.accepted_at);
+        record.released_at = was_released.then_some(self.eligible_at);
+        record
+    }
+
     /// Returns the effective priority, which is raised by the jobs that depend on this one.
     pub(crate) fn priority(&self) -> Priority {
         self.urgency.priority
@@ -166,6 +174,11 @@
         }
     }
 
+    /// Adds the tasks that were reported as done to an earlier copy of this job.
+    pub(super) fn take_over_reports(&mut self, earlier: &Self) {
+        self.reported_done.extend(&earlier.reported_done);
+    }
+
     /// Returns whether all tasks are done according to the records and the shard owners' reports.
     pub(crate) fn is_complete(&self, tasks_per_segment: u32) -> bool {
         let reported_done = self.reported_done.iter();
--- a/src/store/watch_cache.rs
+++ b/src/store/watch_cache.rs
@@ -7,6 +7,7 @@
 mod changes;
 mod jobs;
 mod machines;
+mod reload;
 
 pub(crate) use super::live_job::LiveJob;
 pub(crate) use machines::LiveMachine;
--- a/src/store/watch_cache/jobs.rs
+++ b/src/store/watch_cache/jobs.rs
@@ -42,13 +42,6 @@
         live.or_else(|| self.dependency_graph.get(id).map(|job| &job.spec))
     }
 
-    /// Applies the cancellations that are known to `old`, the cache that this one replaces.
-    pub(crate) fn copy_cancelled_from(&mut self, old: &Self) {
-        for (job, revision) in &old.cancelled {
-            self.apply_cancellation(job, *revision);
-        }
-    }
-
     /// Records a job's outcome from its final record. The deletion of the job's live record may not have
     /// been received from the stream yet.
     pub(crate) fn record_job_outcome(&mut self, id: &JobId, outcome: JobOutcome) {
--- a/src/store/watch_cache/machines.rs
+++ b/src/store/watch_cache/machines.rs
@@ -42,20 +42,6 @@
         self.insert_machine(id, record, revision, old.images);
     }
 
-    /// Copies from an earlier cache the machines that this one does not show yet: those without a
-    /// record, and records from transactions that this controller has just committed. Their tasks may
-    /// have been allotted or launched already. The stream delivers the records to this cache later.
-    pub(crate) fn copy_newer_machines_from(&mut self, earlier: &Self) {
-        let loaded_revision = self.revision;
-        for (id, machine) in &earlier.machines {
-            if machine.revision == Revision(0) {
-                self.insert_unrecorded_machine(id.clone(), machine.record.clone());
-            } else if machine.revision > loaded_revision {
-                self.put_machine(id.clone(), machine.record.clone(), machine.revision);
-            }
-        }
-    }
-
     /// Removes a machine, unless its record was written after this deletion.
     pub(super) fn delete_machine(&mut self, id: &MachineId, revision: Revision) {
         let current = self.machines.get(id);
--- a/src/store/watch_cache/tests.rs
+++ b/src/store/watch_cache/tests.rs
@@ -1,9 +1,9 @@
 use super::*;
 use crate::config::tests::sample_config;
-use crate::ids::{AttemptNumber, TaskAttempt, TaskId};
+use crate::ids::{AttemptNumber, TaskAttempt, TaskId, UnixTime};
 use crate::protocol::store::Event;
 use crate::store::live_job::Placement;
-use crate::store::records::MachineRecord;
+use crate::store::records::{JobRecord, MachineRecord};
 use serde_json::{Value, json};
 
 fn put(key: String, value: Value, revision: u64) -> Event {
@@ -170,3 +170,75 @@
     let job = &cache.jobs[&id];
     assert!(job.done_count() == 2 && job.is_done(1, 8192) && job.is_done(2, 8192));
 }
+
+/// Returns a cache at revision 6 with a job of four tasks that waits for another one.
+fn cache_with_blocked_job(id: &JobId) -> WatchCache {
+    let mut value = job_value(id.as_str());
+    value["spec"]["awaits"] = json!(["job-9"]);
+    let mut cache = WatchCache::new(&sample_config());
+    cache.apply(Revision(6), vec![put(keys::job(id), value, 2)]);
+    cache
+}
+
+/// Guards against tasks that are stopped as if their job had ended: the job, whose release this
+/// controller had just committed, was blocked again in a cache that was loaded from older pages.
+#[test]
+fn loaded_cache_keeps_a_job_that_was_just_released() {
+    let id = JobId::from("job-1");
+    let mut earlier = cache_with_blocked_job(&id);
+    let blocked = earlier.dependency_graph.get(&id).expect("a blocked job");
+    let mut record = JobRecord::new((*blocked.spec).clone(), blocked.accepted_at);
+    record.released_at = Some(UnixTime(70));
+    earlier.put_job(id.clone(), record.clone(), Revision(8));
+    let mut loaded = cache_with_blocked_job(&id);
+    loaded.take_over_from(&earlier);
+    assert_eq!(loaded.job_revision(&id), Some(Revision(8)));
+    assert_eq!(loaded.jobs[&id].record(), record);
+    assert!(!loaded.dependency_graph.contains(&id));
+    loaded.apply(Revision(9), vec![deletion(keys::job(&id), 9)]);
+    assert_eq!(loaded.job_revision(&id), None);
+}
+
+/// Guards against a job that is called done late: its last ends were reported, but not written yet when
+/// the cache was loaded again.
+#[test]
+fn loaded_cache_keeps_the_tasks_that_were_reported_as_done() {
+    let id = JobId::from("job-1");
+    let cache_with_job = || {
+        let mut cache = WatchCache::new(&sample_config());
+        let event = put(keys::job(&id), job_value("job-1"), 2);
+        cache.apply(Revision(6), vec![event]);
+        cache
+    };
+    let mut earlier = cache_with_job();
+    for index in 0..4 {
+        earlier.jobs.get_mut(&id).expect("job").report_done(index);
+    }
+    let mut loaded = cache_with_job();
+    assert!(!loaded.jobs[&id].is_complete(1024));
+    loaded.take_over_from(&earlier);
+    assert!(loaded.jobs[&id].is_complete(1024));
+}
+
+/// Guards against a task on two machines, or in the wrong zone: machines without a record, and records
+/// that this controller had just written, were missing in a cache that was loaded again. What the store
+/// has deleted, or has newer, is not brought back.
+#[test]
+fn loaded_cache_keeps_machines_that_its_pages_do_not_show_yet() {
+    let machine = |number: u32| MachineId::from(format!("vm-{number}").as_str());
+    let mut earlier = WatchCache::new(&sample_config());
+    earlier.insert_unrecorded_machine(machine(1), empty_machine());
+    for (number, revision) in [(2, 8), (3, 5), (4, 5)] {
+        earlier.put_machine(machine(number), empty_machine(), Revision(revision));
+    }
+    let mut loaded = WatchCache::new(&sample_config());
+    loaded.put_machine(machine(4), empty_machine(), Revision(6));
+    loaded.revision = Revision(6);
+    loaded.take_over_from(&earlier);
+    let shown = loaded
+        .machines
+        .iter()
+        .map(|(id, m)| (id.clone(), m.revision.0));
+    let expected = [(machine(1), 0), (machine(2), 8), (machine(4), 6)];
+    assert_eq!(shown.collect::<Vec<_>>(), expected);
+}
