--- a/review/lib2/cluster.py
+++ b/review/lib2/cluster.py
@@ -43,6 +43,19 @@
     ],
     "machines": [("guaria-small", "heredia-dc")] * 2 + [("ceiba-medium", "heredia-dc")] * 2,
 }
+ALTAMAHA = {
+    "zones": ["darien-shed", "st-simons-vault", "jekyll-loft"],
+    # Guarantees and limits in GPUs alone.
+    "teams": [("dredge-survey", 0.0, 0.0, 60.0, 250.0), ("channel-pilots", 0.0, 0.0, 60.0, 350.0)],
+    "workers": {"report_s": 5.0, "lease_s": 32.0, "gang_wait_s": 45.0, "gang_peer_s": 8.0, "cancel_s": 52.0},
+    "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 32.0, "txn_ops": 48},
+    "cloud": {"rps": 2.0, "list_lag_s": 5.0},
+    "quota": {"cpu": 0.064, "ram_mb": 56.0, "sockets": 800},
+    "hulls": [{"name": "sound-node", "cores": 64, "cards": 0, "memory_gb": 128, "cache_gb": 60, "fetch_gb_per_s": 0.8,
+               "price": 3.19, "low_price": 1.05, "startup_s": 25,
+               "berths": ["darien-shed", "st-simons-vault", "jekyll-loft"]}],
+    "machines": [("sound-node", "darien-shed"), ("sound-node", "st-simons-vault")],
+}
 
 
 class Cluster:
@@ -92,7 +105,9 @@
             "services": {"cloud": f"127.0.0.1:{self.cloud_port}", "state": f"127.0.0.1:{self.state_port[name]}"},
             "params": {
                 "size": self.size, "zones": site["zones"],
-                "teams": [{"name": n, "cpus": g, "cpus_max": m, "gpus": 0.0, "gpus_max": 0.0} for n, g, m in site["teams"]],
+                "teams": [
+                    dict(zip(("name", "cpus", "cpus_max", "gpus", "gpus_max"), (*t, 0.0, 0.0)[:5])) for t in site["teams"]
+                ],
                 "objectives": [{"kind": "guarantee", "within_s": 5.0, "share": 0.97}],
                 "workers": site["workers"], "state": state, "cloud": site["cloud"], "quota": site["quota"],
                 "time_bound_ms": 250.0,
--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -258,7 +258,7 @@
             asyncio.ensure_future(self.cloud.end_gang(gang))
 
     async def unhung(self):
-        while self.mode == "hung":
+        while self.mode == "hung" and self.alive:
             await self.resumed.wait()
 
     def execute(self, orders):
@@ -291,7 +291,7 @@
                     self.changed.set()
 
     async def handle(self, method, target, body):
-        while self.mode != "pass":
+        while self.mode != "pass" and self.alive:
             await self.resumed.wait()
         if not self.alive:
             return None
@@ -351,6 +351,8 @@
                 answer = await client.call(self.cloud.node_ports[names[at]], "POST", "/checkin", body, 4.0)
                 if self.mode != "pass":
                     answer = None
+                elif answer and answer[0] not in (200, 421):
+                    self.judge.log("report of", self.id, "to", names[at], "is answered", answer[0], answer[1])
             if not self.alive:
                 break
             if answer and answer[0] == 200:
--- a/review/lib2/net.py
+++ b/review/lib2/net.py
@@ -87,7 +87,7 @@
             self.close()
             self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port, limit=1 << 22)
             self.addr = port
-        data = b"" if body is None else (body if isinstance(body, bytes) else json.dumps(body).encode())
+        data = b"" if body is None else (body if isinstance(body, bytes) else json.dumps(body, separators=(",", ":")).encode())
         head = f"{method} {path} HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: {len(data)}\r\n{headers}\r\n"
         self.writer.write(head.encode() + data)
         await self.writer.drain()
