Fixed: answers were older than what another controller had told

The same could happen after `done`, and 404, 400 or 422 after another controller's 201.

Cause: the result of a read was taken as the answer whenever it arrived. Meanwhile another controller could change the job and tell its user; neither controller learns of the other in time if they can't reach each other.

Change: reads carry leases (module read_leases). An answer that rests on a state which another one can follow is sent within the lease, counted from when the read was sent; otherwise the job is looked up again. Whoever tells of the next state waits until all leases on the one before have ended: a cancellation until all other controllers have acknowledged it, and so revoked theirs, or 0.8 s after the commit; done 0.8 s, accepted 60 ms after it. Only durations on one clock are compared. Answers that a peer gave to forwarded requests count from the forwarding. The confirmation moved from daemon to api, so that tests run it. No frame, record or request to the store is new.

Tests: api::tests::answer_order draws delays, cut links and a refused controller for three controllers on one store; api::leased_answers::tests has the orders of events one at a time.

The fake store of the API tests reports changes to a watch; the busy cluster's watch, which only uses up requests, gets 404 as before.

--- a/src/api/cancel.rs
+++ b/src/api/cancel.rs
@@ -1,13 +1,19 @@
 //! Cancellations of jobs.
 
+mod confirmation;
+
+pub(crate) use confirmation::{ControllerDriver, confirm_cancellations};
+
+use super::final_state::FinalStateRead;
 use super::job_api::{Answer, JobApi};
 use super::query::KnownJob;
 use super::responses::no_such_job;
 use super::retry_reason::RetryReason;
 use crate::http::Response;
-use crate::ids::JobId;
+use crate::ids::{JobId, MonotonicTime};
 use crate::protocol::store::{KeyValue, Txn};
 use crate::protocol::{JobState, is_valid_job_id};
+use crate::read_leases::TransientState;
 use crate::runtime;
 use crate::store::rate_limiter::RequestClass;
 use crate::store::records::{FinalRecord, JobRecord};
@@ -32,12 +38,10 @@
         if !self.store.is_up() {
             return Err(RetryReason::StoreDown);
         }
+        let read_at = self.store.now();
         match self.store.get(RequestClass::Accept, &keys::job(id)).await {
             Ok(Some(item)) => self.cancel_live(id, item).await,
-            Ok(None) => match self.final_states.read(id).await? {
-                Some(final_state) => self.settled_status(id, final_state, None).await,
-                None => Ok(no_such_job()),
-            },
+            Ok(None) => self.respond_without_record(id, read_at).await,
             Err(error @ (StoreError::HeldBack | StoreError::Refused)) => {
                 self.respond_unread_cancellation(id, error.into()).await
             }
@@ -45,14 +49,30 @@
         }
     }
 
+    /// Answers the cancellation of a job without a live record, according to a read that was sent at
+    /// `read_at`. If the job has no final record either, it was not accepted by that time.
+    async fn respond_without_record(&self, id: &JobId, read_at: MonotonicTime) -> Answer {
+        match self.final_states.read(id).await? {
+            FinalStateRead::Ended(final_state) => self.settled_status(id, final_state, None).await,
+            FinalStateRead::NotEnded { .. } => self.respond_never_accepted(id, read_at),
+        }
+    }
+
+    fn respond_never_accepted(&self, id: &JobId, read_at: MonotonicTime) -> Answer {
+        match self.holds_read_lease(id, TransientState::Absent, read_at) {
+            true => Ok(no_such_job()),
+            false => Err(RetryReason::Outdated),
+        }
+    }
+
     /// Answers the cancellation of a job whose record could not be read, so that the job can't be
     /// cancelled now. If the job has ended, no write is needed, and the user is answered as for a
     /// poll.
     async fn respond_unread_cancellation(&self, id: &JobId, reason: RetryReason) -> Answer {
         match self.known_job(id).await? {
             KnownJob::Ended(final_state) => self.settled_status(id, final_state, None).await,
-            KnownJob::NeverAccepted => Ok(no_such_job()),
-            KnownJob::Live => Err(reason),
+            KnownJob::NeverAccepted { read_at } => self.respond_never_accepted(id, read_at),
+            KnownJob::Live { .. } => Err(reason),
         }
     }
 
--- a/src/api/dependencies.rs
+++ b/src/api/dependencies.rs
@@ -5,16 +5,18 @@
 
 pub(crate) use cascade::{CancellationCascade, CascadeStep};
 pub(crate) use decision::{
-    CombinedDependencyState, DependencyState, cached_dependency_state, new_job,
+    CombinedDependencyState, DependencyState, InvalidDependency, cached_dependency_state, new_job,
 };
 
-use super::job_api::JobApi;
+use super::job_api::{Answer, JobApi};
 use super::job_lookup::JobLookup;
-use super::responses::job_status;
 use super::retry_reason::RetryReason;
+use super::revision_check::StoredJob;
 use super::submit::{SubmissionError, Submitted};
+use crate::http::Response;
 use crate::ids::{JobId, Revision, UnixTime};
 use crate::protocol::{JobSpec, JobState};
+use crate::read_leases::TransientState;
 use crate::runtime;
 use crate::store::rate_limiter::RequestClass;
 use crate::store::records::JobRecord;
@@ -55,19 +57,22 @@
                 return Err(self.dependencies_unread());
             };
             if let CombinedDependencyState::Refused(reason) = &dependencies {
-                return Ok(self.refuse(&id, &reason.to_string()).await?);
+                return Ok(self.refuse_for_dependency(&id, reason).await?);
             }
             let ops = self.config.store_limits.txn_ops;
             let Some((txn, state)) = dependencies.acceptance_txn(&spec, UnixTime::now(), ops)
             else {
                 return Err(self.dependencies_unread());
             };
+            let sent_at = self.store.now();
             match self.store.txn(RequestClass::Accept, &txn).await {
-                TxnOutcome::Committed(_) => return Ok(job_status(201, &id, state, None)),
+                TxnOutcome::Committed(revision) => {
+                    return Ok(self.accepted_answer(&id, state, revision, sent_at).await?);
+                }
                 TxnOutcome::Failed(failed, _) => {
                     let own_keys = [keys::job(&id), keys::final_state(&id)];
                     if failed.iter().any(|key| own_keys.contains(key)) {
-                        return Ok(self.existing_status(&id, &failed).await?);
+                        return Ok(self.existing_status(&id, &failed, sent_at).await?);
                     }
                     let dependencies = spec.dependencies.iter();
                     let stale = dependencies.filter(|d| failed.contains(&keys::job(d)));
@@ -81,6 +86,50 @@
         ))
     }
 
+    /// Refuses a submission permanently because it can't have one of its dependencies, unless its job
+    /// was accepted earlier.
+    async fn refuse_for_dependency(&self, id: &JobId, reason: &InvalidDependency) -> Answer {
+        let text = reason.to_string();
+        match reason {
+            InvalidDependency::NeverAccepted(dependency) => {
+                self.refuse_without_dependency(id, dependency, &text).await
+            }
+            _ => self.refuse(id, &text).await,
+        }
+    }
+
+    /// Refuses a submission permanently if neither its job nor this dependency was accepted. Both are
+    /// compared at the same time, as another controller may accept either of them meanwhile.
+    async fn refuse_without_dependency(
+        &self,
+        id: &JobId,
+        dependency: &JobId,
+        reason: &str,
+    ) -> Answer {
+        let own_check = self.revision_checker.start_check(id);
+        let dependency_check = self.revision_checker.start_check(dependency);
+        let own = own_check.result().await;
+        let dependency_state = dependency_check.result().await;
+        let is_leased = |job, at| self.holds_read_lease(job, TransientState::Absent, at);
+        match (own, dependency_state) {
+            (
+                StoredJob::NeverAccepted { read_at },
+                StoredJob::NeverAccepted {
+                    read_at: dependency_read_at,
+                },
+            ) => match is_leased(id, read_at) && is_leased(dependency, dependency_read_at) {
+                true => Ok(Response::error(422, reason)),
+                false => Err(RetryReason::Outdated),
+            },
+            (StoredJob::Unknown(unknown), _) | (_, StoredJob::Unknown(unknown)) => Err(unknown),
+            (StoredJob::NeverAccepted { .. }, _) => Err(RetryReason::DependenciesChanging),
+            _ => {
+                self.status_or_retry(id, RetryReason::DependenciesChanging)
+                    .await
+            }
+        }
+    }
+
     /// Returns the error of a submission whose dependencies could not be looked up. If the store
     /// did not respond, the job itself is not looked up either.
     fn dependencies_unread(&self) -> SubmissionError {
--- a/src/api/final_state.rs
+++ b/src/api/final_state.rs
@@ -1,6 +1,6 @@
 //! A cache of final states, which never change.
 
-use crate::ids::{JobId, Revision};
+use crate::ids::{JobId, MonotonicTime, Revision};
 use crate::store::records::FinalRecord;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -14,11 +14,25 @@
     pub(super) record: FinalRecord,
     /// The store revision that ended the job.
     pub(super) revision: Revision,
+    /// When this controller first knew that the job has ended.
+    pub(super) known_at: MonotonicTime,
     /// Whether users may be told: for a cancelled job, once it is confirmed that no task of it is
     /// running and all its dependents are cancelled; always `true` for a job that is done.
     pub(super) settled: bool,
 }
 
+/// The result of a read of a job's final state.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum FinalStateRead {
+    /// The job has ended.
+    Ended(FinalState),
+    /// No final state was stored, because the job was live or not accepted.
+    NotEnded {
+        /// When the request was sent.
+        read_at: MonotonicTime,
+    },
+}
+
 /// Final states by job. The entry that was added first is evicted when the cache is full.
 #[derive(Default)]
 pub(super) struct FinalStateCache {
--- a/src/api/final_state/tests.rs
+++ b/src/api/final_state/tests.rs
@@ -10,6 +10,7 @@
             tasks: 1,
         },
         revision: Revision(1),
+        known_at: MonotonicTime(1),
         settled: true,
     };
     for n in 0..MAX_FINAL_STATES + 10 {
--- a/src/api/final_state_reader.rs
+++ b/src/api/final_state_reader.rs
@@ -12,7 +12,7 @@
 //! the job that has waited longest. The page answers the waiting users of all jobs on it, and its
 //! other final states are cached for later requests.
 
-use super::final_state::{FinalState, FinalStateCache};
+use super::final_state::{FinalState, FinalStateCache, FinalStateRead};
 use super::read_queue::{MAX_READ_WAIT, ReadQueue, ReadResult};
 use super::retry_reason::RetryReason;
 use crate::ids::{JobId, Millis, MonotonicTime, Revision};
@@ -113,6 +113,7 @@
         let final_state = FinalState {
             record,
             revision,
+            known_at: self.store.now(),
             settled: record.state != JobState::Cancelled,
         };
         self.cache.borrow_mut().put(id, final_state);
@@ -129,11 +130,11 @@
         self.cache.borrow_mut().put(id, settled_state);
     }
 
-    /// Reads a job's final state. Returns `None` if none is stored, because the job is live or was never
-    /// accepted.
+    /// Reads a job's final state. The request is sent after this call, unless the final state is
+    /// cached.
     pub(super) async fn read(&self, id: &JobId) -> ReadResult {
         if let Some(final_state) = self.cached(id) {
-            return Ok(Some(final_state));
+            return Ok(FinalStateRead::Ended(final_state));
         }
         let (waiter, result) = oneshot();
         if !self.queue.borrow_mut().add(self.store.now(), id, waiter) {
@@ -208,8 +209,10 @@
 
     async fn read_record(self, read_permit: ReadPermit, id: JobId) {
         let key = keys::final_state(&id);
+        let read_at = self.store.now();
         match self.store.get_admitted(read_permit, &key).await {
-            Ok(item) => self.answer(&id, self.decode_item(&id, item)),
+            Ok(Some(item)) => self.answer(&id, self.decode_item(&id, item)),
+            Ok(None) => self.answer(&id, Ok(FinalStateRead::NotEnded { read_at })),
             Err(error) => self.on_failed_read(&[id], error),
         }
         self.ensure_dispatching();
@@ -219,30 +222,34 @@
     /// the page, in the order of their ids.
     async fn read_page(self, read_permit: ReadPermit, first: JobId, jobs: Vec<JobId>) {
         let after = keys::final_state_predecessor(&first);
+        let read_at = self.store.now();
         let page =
             self.store
                 .page_admitted(read_permit, keys::FINAL_STATE_PREFIX, &after, PAGE_ITEMS);
         match page.await {
-            Ok(page) => self.on_page(&jobs, page),
+            Ok(page) => self.on_page(read_at, &jobs, page),
             Err(error) => self.on_failed_read(&jobs, error),
         }
         self.ensure_dispatching();
     }
 
-    /// Answers the users of the jobs that a page covers. The other jobs are queued again.
-    fn on_page(&self, jobs: &[JobId], page: Page) {
+    /// Answers the users of the jobs that a page covers. The other jobs are queued again. The request
+    /// for the page was sent at `read_at`.
+    fn on_page(&self, read_at: MonotonicTime, jobs: &[JobId], page: Page) {
         let end = PageEnd::of(&page);
         let mut results: BTreeMap<JobId, ReadResult> = BTreeMap::new();
         for item in page.items {
             if let Some(id) = keys::job_from_final_state_key(&item.key) {
-                let result = self.decode_item(&id, Some(item));
+                let result = self.decode_item(&id, item);
                 results.insert(id, result);
             }
         }
         for (position, id) in jobs.iter().enumerate() {
             match results.get(id) {
                 Some(result) => self.answer(id, *result),
-                None if end.covers(id) => self.answer(id, Ok(None)),
+                None if end.covers(id) => {
+                    self.answer(id, Ok(FinalStateRead::NotEnded { read_at }));
+                }
                 // The page does not even cover the job with which it begins.
                 None if position == 0 => self.answer(id, Err(RetryReason::Unreadable)),
                 None => self.queue.borrow_mut().requeue(id),
@@ -250,16 +257,13 @@
         }
     }
 
-    /// Returns the result of reading a record, and caches the final state if there is one.
-    fn decode_item(&self, id: &JobId, item: Option<KeyValue>) -> ReadResult {
-        let Some(item) = item else {
-            return Ok(None);
-        };
+    /// Decodes a record that was read, and caches the final state.
+    fn decode_item(&self, id: &JobId, item: KeyValue) -> ReadResult {
         if let Some(final_state) = self.cached(id) {
-            return Ok(Some(final_state));
+            return Ok(FinalStateRead::Ended(final_state));
         }
         serde_json::from_value(item.value)
-            .map(|record| Some(self.cache_final_state(id, record, item.revision)))
+            .map(|record| FinalStateRead::Ended(self.cache_final_state(id, record, item.revision)))
             .map_err(|_| RetryReason::Unreadable)
     }
 
@@ -280,7 +284,7 @@
     /// Ends the wait of a job's users with the result or the error of a read.
     fn answer(&self, id: &JobId, result: ReadResult) {
         tracing::debug!(job = %id, ?result, "final state read");
-        let has_ended = matches!(result, Ok(Some(_)));
+        let has_ended = matches!(result, Ok(FinalStateRead::Ended(_)));
         let answered = self.queue.borrow_mut().finish_read(id, has_ended);
         self.counters.borrow_mut().answered_jobs += u64::from(!answered.is_empty());
         for waiter in answered {
--- a/src/api/job_lookup.rs
+++ b/src/api/job_lookup.rs
@@ -1,6 +1,6 @@
 //! Lookups of jobs that the watch cache does not show, or no longer shows.
 
-use super::final_state::FinalState;
+use super::final_state::{FinalState, FinalStateRead};
 use super::job_api::JobApi;
 use super::retries::retry_refused;
 use super::retry_reason::RetryReason;
@@ -31,8 +31,8 @@
             return Ok(JobLookup::Live(item));
         }
         Ok(match self.final_states.read(id).await? {
-            Some(final_state) => JobLookup::Ended(final_state),
-            None => JobLookup::NeverAccepted,
+            FinalStateRead::Ended(final_state) => JobLookup::Ended(final_state),
+            FinalStateRead::NotEnded { .. } => JobLookup::NeverAccepted,
         })
     }
 
@@ -65,7 +65,9 @@
     /// Returns the state in which a job ended, or `None` if no final state is stored (the job is live or
     /// was never accepted) or it can't be read now.
     pub(crate) async fn final_job_state(&self, id: &JobId) -> Option<JobState> {
-        let final_state = self.final_states.read(id).await.ok()??;
-        Some(final_state.record.state)
+        match self.final_states.read(id).await.ok()? {
+            FinalStateRead::Ended(final_state) => Some(final_state.record.state),
+            FinalStateRead::NotEnded { .. } => None,
+        }
     }
 }
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -18,6 +18,7 @@
 mod final_state_reader;
 mod job_api;
 mod job_lookup;
+mod leased_answers;
 mod query;
 mod read_queue;
 mod responses;
@@ -29,6 +30,7 @@
 mod tests;
 mod unanswered;
 
+pub(crate) use cancel::{ControllerDriver, confirm_cancellations};
 pub(crate) use final_state_reader::FinalStateReadCounters;
 pub(crate) use job_api::{Cancellation, JobApi};
 pub(crate) use unanswered::UnansweredReport;
--- a/src/api/query.rs
+++ b/src/api/query.rs
@@ -1,26 +1,37 @@
 //! Polls of jobs.
 
-use super::final_state::FinalState;
+use super::final_state::{FinalState, FinalStateRead};
 use super::job_api::{Answer, Cancellation, JobApi};
-use super::responses::{TaskCounts, final_status, job_status, no_such_job};
+use super::responses::{final_status, no_such_job};
 use super::retry_reason::RetryReason;
 use super::revision_check::StoredJob;
 use crate::http::Response;
-use crate::ids::JobId;
+use crate::ids::{JobId, Millis, MonotonicTime};
 use crate::protocol::{JobState, is_valid_job_id};
+use crate::read_leases::TransientState;
 use crate::runtime::oneshot;
 use crate::store::keys;
 use std::time::Instant;
 
+/// The time after which a job is not looked up again because the earlier read was too old. Users wait
+/// two seconds for the answer to a poll.
+const MAX_LOOKUP_TIME: Millis = Millis(1000);
+
 /// The state of a job id, as checked against the key-value store.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum KnownJob {
-    /// The job was accepted and has not ended.
-    Live,
+    /// The job was accepted and had not ended.
+    Live {
+        /// When the request that found this was sent.
+        read_at: MonotonicTime,
+    },
     /// The job has ended.
     Ended(FinalState),
     /// No job was accepted under this id.
-    NeverAccepted,
+    NeverAccepted {
+        /// When the request that found this was sent.
+        read_at: MonotonicTime,
+    },
 }
 
 impl JobApi {
@@ -50,15 +61,30 @@
         self.known_status(id).await?.ok_or(reason)
     }
 
-    /// Returns a job's state, or `None` if no job was accepted under this id.
+    /// Returns a job's state, or `None` if no job was accepted under this id. Looks the job up again
+    /// if the answer of the store was too late.
     async fn known_status(&self, id: &JobId) -> Result<Option<Response>, RetryReason> {
-        match self.known_job(id).await? {
-            KnownJob::Live => Ok(Some(self.live_status(id))),
-            KnownJob::Ended(final_state) => {
-                let status = self.settled_status(id, final_state, None).await?;
-                Ok(Some(status))
+        let started_at = self.store.now();
+        loop {
+            match self.known_job(id).await? {
+                KnownJob::Live { read_at } => {
+                    if let Some(answer) = self.live_answer(id, read_at).await {
+                        return Ok(Some(answer));
+                    }
+                }
+                KnownJob::Ended(final_state) => {
+                    let status = self.settled_status(id, final_state, None).await?;
+                    return Ok(Some(status));
+                }
+                KnownJob::NeverAccepted { read_at } => {
+                    if self.holds_read_lease(id, TransientState::Absent, read_at) {
+                        return Ok(None);
+                    }
+                }
+            }
+            if self.store.now().since(started_at) >= MAX_LOOKUP_TIME {
+                return Err(RetryReason::Outdated);
             }
-            KnownJob::NeverAccepted => Ok(None),
         }
     }
 
@@ -72,56 +98,50 @@
             return Err(RetryReason::StoreDown);
         }
         match self.revision_checker.check(id).await {
-            StoredJob::Live => Ok(KnownJob::Live),
+            StoredJob::Live { read_at } => Ok(KnownJob::Live { read_at }),
             StoredJob::Ended => Ok(KnownJob::Ended(self.read_final_state(id).await?)),
             // Either the job has ended, or its record has changed because its dependencies are done
             // and it was released. A record is deleted only by the transaction that writes the final
             // state, so a job without a final state is live.
             StoredJob::Changed => Ok(match self.final_states.read(id).await? {
-                Some(final_state) => KnownJob::Ended(final_state),
-                None => KnownJob::Live,
+                FinalStateRead::Ended(final_state) => KnownJob::Ended(final_state),
+                FinalStateRead::NotEnded { read_at } => KnownJob::Live { read_at },
             }),
-            StoredJob::NeverAccepted => Ok(KnownJob::NeverAccepted),
+            StoredJob::NeverAccepted { read_at } => Ok(KnownJob::NeverAccepted { read_at }),
             StoredJob::Unknown(reason) => Err(reason),
         }
     }
 
     /// Reads the final state of a job that is known to have one.
     async fn read_final_state(&self, id: &JobId) -> Result<FinalState, RetryReason> {
-        let final_state = self.final_states.read(id).await?;
-        final_state.ok_or(RetryReason::Unreadable)
+        match self.final_states.read(id).await? {
+            FinalStateRead::Ended(final_state) => Ok(final_state),
+            FinalStateRead::NotEnded { .. } => Err(RetryReason::Unreadable),
+        }
     }
 
-    /// Answers a submission whose transaction failed because records of its job exist.
-    /// `existing_keys` are the keys of those records.
-    pub(super) async fn existing_status(&self, id: &JobId, existing_keys: &[String]) -> Answer {
+    /// Answers a submission whose transaction, which was sent at `sent_at`, failed because records of
+    /// its job exist. `existing_keys` are the keys of those records.
+    pub(super) async fn existing_status(
+        &self,
+        id: &JobId,
+        existing_keys: &[String],
+        sent_at: MonotonicTime,
+    ) -> Answer {
         if !existing_keys.contains(&keys::final_state(id)) {
-            return Ok(self.live_status(id));
+            return match self.live_answer(id, sent_at).await {
+                Some(answer) => Ok(answer),
+                None => self.status_or_retry(id, RetryReason::NotTaken).await,
+            };
         }
         let final_state = self.read_final_state(id).await?;
         self.settled_status(id, final_state, None).await
     }
 
-    /// Returns the status of a live job. The task counts, and with them whether the job is running or
-    /// queued, come from the watch cache. It may lag, so they are for display only.
-    fn live_status(&self, id: &JobId) -> Response {
-        let controller = self.controller.borrow();
-        let job = controller.cache.jobs.get(id);
-        let counts = TaskCounts {
-            done: job.map_or(0, |j| u64::from(j.done_count())),
-            running: job.map_or(0, |j| j.placed.len() as u64),
-        };
-        let state = if counts.running > 0 {
-            JobState::Running
-        } else {
-            JobState::Queued
-        };
-        job_status(200, id, state, Some(counts))
-    }
-
-    /// Returns the status of a job that has ended. For a cancelled job, it first waits until it is
-    /// confirmed that no task of the job is running, and until all its dependents are cancelled. That
-    /// usually takes some tens of milliseconds; if it takes too long, the user has to retry.
+    /// Returns the status of a job that has ended, once no controller can still answer that it is live.
+    /// For a cancelled job, it first waits until that is confirmed, until it is confirmed that no task
+    /// of the job is running, and until all its dependents are cancelled. That usually takes some tens
+    /// of milliseconds; if it takes too long, the user has to retry.
     ///
     /// `sent_at` is the time at which this request sent the cancellation; `None` if it did not.
     pub(super) async fn settled_status(
@@ -145,6 +165,10 @@
                 return Err(RetryReason::DependentsStopping);
             }
             self.final_states.mark_settled(id, final_state);
+        } else if final_state.record.state == JobState::Done {
+            let committed_by = self.committed_by(final_state.revision);
+            let known_at = committed_by.min(final_state.known_at);
+            self.wait_for_expiry(TransientState::Live, known_at).await;
         }
         Ok(final_status(id, final_state.record))
     }
--- a/src/api/read_queue.rs
+++ b/src/api/read_queue.rs
@@ -1,7 +1,7 @@
 //! The queue of user requests that wait for reads of final states. It determines which job is read
 //! next.
 
-use super::final_state::FinalState;
+use super::final_state::FinalStateRead;
 use super::retry_reason::RetryReason;
 use crate::ids::{JobId, Millis, MonotonicTime};
 use crate::runtime::Sender;
@@ -16,9 +16,8 @@
 /// probably been answered by another controller, or have stopped retrying.
 const IDLE_TIMEOUT: Millis = Millis(60_000);
 
-/// The final state of a job; `None` if none is stored, because the job is live or was never accepted; or
-/// the reason why it could not be read.
-pub(super) type ReadResult = Result<Option<FinalState>, RetryReason>;
+/// The result of a read of a job's final state, or the reason why it could not be read.
+pub(super) type ReadResult = Result<FinalStateRead, RetryReason>;
 
 /// The jobs with unanswered requests.
 #[derive(Default)]
--- a/src/api/retry_reason.rs
+++ b/src/api/retry_reason.rs
@@ -49,7 +49,13 @@
     /// The dependencies of a submission changed during every attempt to accept it.
     #[error("the jobs that it names are changing")]
     DependenciesChanging,
-    /// It is not confirmed yet that no task of the cancelled job is running.
+    /// What was read of the job was too old to be answered by the time it was known, in several
+    /// attempts. The job may have changed since, and its user may have been told so by another
+    /// controller.
+    #[error("what was read of the job is outdated")]
+    Outdated,
+    /// It is not confirmed yet that no task of the cancelled job is running, or another controller may
+    /// still answer that the job is live.
     #[error("its tasks are being stopped")]
     TasksStopping,
     /// Some dependents of the cancelled job have not been cancelled yet.
--- a/src/api/revision_check.rs
+++ b/src/api/revision_check.rs
@@ -9,9 +9,9 @@
 
 use super::retries::retry_refused;
 use super::retry_reason::RetryReason;
-use crate::ids::{JobId, Revision};
+use crate::ids::{JobId, MonotonicTime, Revision};
 use crate::protocol::store::Txn;
-use crate::runtime::{self, Receiver, Sender, channel, oneshot};
+use crate::runtime::{self, Oneshot, Receiver, Sender, channel, oneshot};
 use crate::store::{StoreClient, TxnOutcome, keys};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -28,13 +28,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum StoredJob {
     /// The job's record exists, at the revision that the watch cache shows if it shows one.
-    Live,
+    Live {
+        /// When the request was sent.
+        read_at: MonotonicTime,
+    },
     /// Either the job's record exists at another revision, or its final state exists.
     Changed,
     /// The job's final state exists.
     Ended,
-    /// Neither record exists: the job was never accepted.
-    NeverAccepted,
+    /// Neither record exists: the job was not accepted.
+    NeverAccepted {
+        /// When the request was sent.
+        read_at: MonotonicTime,
+    },
     /// The comparison had no result or was not made, for this reason.
     Unknown(RetryReason),
 }
@@ -82,8 +88,10 @@
         }
     }
 
-    /// Returns the state of the job according to the outcome of the transaction.
-    fn stored_job(&self, job: &JobId, outcome: &TxnOutcome) -> StoredJob {
+    /// Returns the state of the job according to the comparison.
+    fn stored_job(&self, job: &JobId, comparison: &Comparison) -> StoredJob {
+        let Comparison { read_at, outcome } = comparison;
+        let read_at = *read_at;
         let failed = match outcome {
             TxnOutcome::Committed(_) => &[][..],
             TxnOutcome::Failed(failed, _) => failed.as_slice(),
@@ -93,15 +101,22 @@
         };
         let live_failed = failed.contains(&keys::job(job));
         match (self.cached, live_failed) {
-            (Some(_), false) => StoredJob::Live,
+            (Some(_), false) => StoredJob::Live { read_at },
             (Some(_), true) => StoredJob::Changed,
             (None, _) if failed.contains(&keys::final_state(job)) => StoredJob::Ended,
-            (None, true) => StoredJob::Live,
-            (None, false) => StoredJob::NeverAccepted,
+            (None, true) => StoredJob::Live { read_at },
+            (None, false) => StoredJob::NeverAccepted { read_at },
         }
     }
 }
 
+/// A comparison that has ended.
+struct Comparison {
+    /// When the request was sent: the last one if the comparison was retried.
+    read_at: MonotonicTime,
+    outcome: TxnOutcome,
+}
+
 /// The checks of one comparison, by job.
 struct Batch {
     checks: BTreeMap<JobId, JobCheck>,
@@ -145,14 +160,17 @@
 
     /// Evaluates all conditions in one comparison and sends the results.
     async fn evaluate(self, store: Rc<StoreClient>) {
-        let outcome = retry_refused(
+        let comparison = retry_refused(
             &store,
-            async |class| store.txn(class, &self.txn).await,
-            |outcome| matches!(outcome, TxnOutcome::Refused(_)),
+            async |class| Comparison {
+                read_at: store.now(),
+                outcome: store.txn(class, &self.txn).await,
+            },
+            |comparison| matches!(comparison.outcome, TxnOutcome::Refused(_)),
         );
-        let outcome = outcome.await;
+        let comparison = comparison.await;
         for (job, check) in self.checks {
-            let stored_job = check.stored_job(&job, &outcome);
+            let stored_job = check.stored_job(&job, &comparison);
             for answer in check.answers {
                 answer.send(stored_job);
             }
@@ -160,6 +178,17 @@
     }
 }
 
+/// A check whose result is not known yet.
+pub(super) struct PendingCheck(Oneshot<StoredJob>);
+
+impl PendingCheck {
+    /// Waits for the state of the job in the store.
+    pub(super) async fn result(self) -> StoredJob {
+        let no_answer = StoredJob::Unknown(RetryReason::StoreSilent);
+        self.0.get().await.unwrap_or(no_answer)
+    }
+}
+
 /// Collects checks and makes them in batches, one comparison per batch.
 pub(super) struct RevisionChecker {
     queue: Sender<QueuedCheck>,
@@ -188,16 +217,19 @@
 
     /// Returns the state of a job in the store within about a second.
     pub(super) async fn check(&self, job: &JobId) -> StoredJob {
+        self.start_check(job).result().await
+    }
+
+    /// Queues a check of a job. Checks that are queued at the same time mostly share a comparison.
+    pub(super) fn start_check(&self, job: &JobId) -> PendingCheck {
+        let (answer, result) = oneshot();
         if self.queue.backlog() >= MAX_QUEUED_CHECKS {
-            return StoredJob::Unknown(RetryReason::TooManyQuestions);
+            answer.send(StoredJob::Unknown(RetryReason::TooManyQuestions));
+        } else {
+            let job = job.clone();
+            self.queue.send(QueuedCheck { job, answer });
         }
-        let (answer, result) = oneshot();
-        self.queue.send(QueuedCheck {
-            job: job.clone(),
-            answer,
-        });
-        let no_answer = StoredJob::Unknown(RetryReason::StoreSilent);
-        result.get().await.unwrap_or(no_answer)
+        PendingCheck(result)
     }
 }
 
--- a/src/api/submit.rs
+++ b/src/api/submit.rs
@@ -3,7 +3,6 @@
 use super::dependencies::new_job;
 use super::feasibility;
 use super::job_api::{Answer, JobApi};
-use super::responses::job_status;
 use super::retry_reason::RetryReason;
 use crate::http::Response;
 use crate::ids::{JobId, UnixTime};
@@ -124,9 +123,15 @@
         let record = JobRecord::new(spec, UnixTime::now());
         let mut txn = new_job(&id);
         txn.put(keys::job(&id), &record, None);
+        let sent_at = self.store.now();
         match self.store.txn(RequestClass::Accept, &txn).await {
-            TxnOutcome::Committed(_) => Ok(job_status(201, &id, JobState::Queued, None)),
-            TxnOutcome::Failed(failed, _) => Ok(self.existing_status(&id, &failed).await?),
+            TxnOutcome::Committed(revision) => {
+                let state = JobState::Queued;
+                Ok(self.accepted_answer(&id, state, revision, sent_at).await?)
+            }
+            TxnOutcome::Failed(failed, _) => {
+                Ok(self.existing_status(&id, &failed, sent_at).await?)
+            }
             outcome => Err(SubmissionError::not_written(&outcome)),
         }
     }
--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -1,6 +1,8 @@
 //! A fake key-value store and controllers that use it, for the tests of the API.
 
+mod answer_order;
 pub(super) mod busy_cluster;
+pub(super) mod delayed_cluster;
 pub(super) mod users;
 
 use super::{Cancellation, JobApi};
@@ -62,6 +64,8 @@
     /// The number of the next reads that are refused because of the rate limit.
     pub(super) refused_reads: u32,
     delayed: Vec<Value>,
+    /// All changes, as a watch reports them.
+    events: Vec<Value>,
 }
 
 impl FakeStore {
@@ -69,6 +73,9 @@
         if self.unavailable {
             return Response::error(503, "trouble");
         }
+        if let Some(query) = request.target.strip_prefix("/follow?") {
+            return self.changes(query);
+        }
         if request.method == Method::Get && self.refused_reads > 0 {
             self.refused_reads -= 1;
             return Response::error(429, "too many requests");
@@ -108,10 +115,7 @@
 
     /// Returns a page of the keys under a prefix that follow a given key.
     fn page(&self, query: &str) -> Response {
-        let fields: BTreeMap<&str, &str> = query
-            .split('&')
-            .filter_map(|field| field.split_once('='))
-            .collect();
+        let fields = query_fields(query);
         let after = fields["after"].to_owned();
         let page_size: usize = fields["most"].parse().expect("number");
         let following = self
@@ -128,6 +132,19 @@
         Response::json(200, &page)
     }
 
+    /// Returns the changes under a prefix after a given revision, without waiting for any.
+    fn changes(&self, query: &str) -> Response {
+        let fields = query_fields(query);
+        let after: u64 = fields["after"].parse().expect("number");
+        let is_reported = |event: &&Value| {
+            let key = event["write"].as_str().or(event["delete"].as_str());
+            let has_prefix = key.is_some_and(|key| key.starts_with(fields["prefix"]));
+            has_prefix && event["amendment"].as_u64() > Some(after)
+        };
+        let events: Vec<&Value> = self.events.iter().filter(is_reported).collect();
+        Response::json(200, &json!({"edition": self.revision, "events": events}))
+    }
+
     /// Executes a transaction if its conditions hold.
     fn execute(&mut self, txn: &Value) -> Response {
         let list = |field: &str| txn[field].as_array().cloned().unwrap_or_default();
@@ -147,11 +164,8 @@
         self.revision += u64::from(!list("then").is_empty());
         for change in list("then") {
             match change["write"].as_str() {
-                Some(key) => {
-                    let value = (change["data"].clone(), self.revision);
-                    self.keys.insert(key.to_owned(), value);
-                }
-                None => drop(self.keys.remove(&text(&change["delete"]))),
+                Some(key) => self.write(key.to_owned(), change["data"].clone()),
+                None => self.delete(&text(&change["delete"])),
             }
         }
         Response::json(200, &json!({"edition": self.revision}))
@@ -167,16 +181,37 @@
     /// Writes a record as another client would.
     pub(super) fn put(&mut self, key: String, record: &impl Serialize) {
         self.revision += 1;
-        let value = serde_json::to_value(record).expect("json");
-        self.keys.insert(key, (value, self.revision));
+        self.write(key, serde_json::to_value(record).expect("json"));
     }
 
     /// Ends a job as another controller would.
     pub(super) fn end(&mut self, id: &str, state: JobState) {
         let id = JobId::from(id);
-        self.keys.remove(&keys::job(&id));
         self.put(keys::final_state(&id), &FinalRecord { state, tasks: 1 });
+        self.delete(&keys::job(&id));
     }
+
+    /// Changes a key at the present revision.
+    fn write(&mut self, key: String, value: Value) {
+        let revision = self.revision;
+        let event = json!({"write": key, "data": value, "amendment": revision});
+        self.events.push(event);
+        self.keys.insert(key, (value, revision));
+    }
+
+    /// Deletes a key at the present revision.
+    fn delete(&mut self, key: &str) {
+        if self.keys.remove(key).is_some() {
+            let event = json!({"delete": key, "amendment": self.revision});
+            self.events.push(event);
+        }
+    }
+}
+
+/// Returns the fields of a request's query.
+fn query_fields(query: &str) -> BTreeMap<&str, &str> {
+    let fields = query.split('&').filter_map(|field| field.split_once('='));
+    fields.collect()
 }
 
 /// A fake key-value store, served over HTTP, that several controllers share.
@@ -236,7 +271,7 @@
 }
 
 /// Returns rate limits that no test reaches.
-fn generous_limits(config: &Config) -> StoreLimits {
+pub(super) fn generous_limits(config: &Config) -> StoreLimits {
     let mut limits = config.store_limits;
     limits.rates.requests = 1e4;
     limits.rates.writes = 1e4;
--- a/src/api/tests/busy_cluster.rs
+++ b/src/api/tests/busy_cluster.rs
@@ -180,6 +180,8 @@
             _ if is_away => Response::error(503, "trouble"),
             _ if !admitted => Response::error(429, "too many requests"),
             path if path.starts_with("/grants") => Response::json(200, &()),
+            // The watch of this cluster only uses up requests.
+            path if path.starts_with("/follow") => Response::json(404, &()),
             _ => state.borrow_mut().respond(&request),
         };
         Box::pin(async move {
--- a/src/cancellation/acknowledgement.rs
+++ b/src/cancellation/acknowledgement.rs
@@ -85,6 +85,16 @@
         }
     }
 
+    /// Returns whether all of these controllers know of the round's cancellation.
+    pub(crate) fn is_acknowledged_by_all<'a>(
+        &self,
+        id: CancellationRoundId,
+        mut members: impl Iterator<Item = &'a MemberId>,
+    ) -> bool {
+        let round = self.open.get(&id);
+        round.is_some_and(|r| members.all(|m| r.acknowledged_fences.contains_key(m)))
+    }
+
     /// Returns whether all tasks of a round's job are proved to be gone; `false` if the round is not open. No
     /// placement of the job is committed after the cancellation, so a watch cache that has reached the
     /// revision of the cancellation shows every shard that can have tasks of the job. An owner of such a
--- a/src/cancellation/mod.rs
+++ b/src/cancellation/mod.rs
@@ -8,6 +8,10 @@
 //! So every controller is informed after the commit, and the user's request is answered once all of the
 //! job's tasks are proved to be gone. Shard owners acknowledge this at once to the controller that handles
 //! the request. If no acknowledgement arrives, the watch cache shows it a little later.
+//!
+//! Nor may another controller answer afterwards that the job is live, because it has read so before. Each
+//! revokes its read leases on the job when it learns of the cancellation (see `read_leases`). If one can't
+//! be reached, the user is answered once its leases have expired.
 
 mod acknowledgement;
 mod deadlines;
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -12,6 +12,7 @@
 mod leader;
 mod messages;
 mod plans;
+mod read_leases;
 mod timers;
 
 pub(crate) use effects::{Effect, TxnRequester};
@@ -38,6 +39,7 @@
 use completion::JobCompletions;
 use dependents::DependentReleases;
 use plans::PlanWriter;
+use read_leases::ReadLeaseState;
 use std::collections::BTreeSet;
 use timers::{PeriodicTimer, ScheduleTimer};
 
@@ -88,6 +90,7 @@
     pub autoscaler: Autoscaler,
     reachability: ReachabilityMonitor,
     cancellation: CancellationState,
+    read_leases: ReadLeaseState,
     dependents: DependentReleases,
     completions: JobCompletions,
     plans: PlanWriter,
@@ -110,6 +113,7 @@
             autoscaler: Autoscaler::new(config),
             reachability: ReachabilityMonitor::new(config),
             cancellation: CancellationState::default(),
+            read_leases: ReadLeaseState::default(),
             dependents: DependentReleases::default(),
             completions: JobCompletions::default(),
             plans: PlanWriter::default(),
@@ -138,6 +142,7 @@
     pub(crate) fn on_snapshot(&mut self, now: MonotonicTime, mut cache: WatchCache) -> Vec<Effect> {
         cache.take_over_from(&self.cache);
         self.cache = cache;
+        self.record_revision(now);
         self.shard_owner.request_full_reconcile();
         self.timers.schedule.request();
         self.timers.reconcile.expedite(now);
@@ -156,6 +161,7 @@
             .filter_map(|e| keys::machine_from_key(e.put.as_deref().or(e.delete.as_deref())?))
             .collect();
         let ended = self.cache.apply(revision, events);
+        self.record_revision(now);
         self.timers.schedule.request();
         let mut out = Vec::new();
         self.shard_owner
--- a/src/controller/cancellation.rs
+++ b/src/controller/cancellation.rs
@@ -66,14 +66,15 @@
             .collect()
     }
 
-    /// Returns whether all tasks of the round's job are proved to be gone.
+    /// Returns whether all tasks of the round's job are proved to be gone, and no controller can still
+    /// answer that the job is live.
     pub(crate) fn is_cancellation_complete(
         &mut self,
         now: MonotonicTime,
         round: CancellationRoundId,
     ) -> bool {
         let pending = self.cancellation.rounds.pending_cancellation(round);
-        let Some(job) = pending.map(|(job, _)| job.clone()) else {
+        let Some((job, revision)) = pending.map(|(job, revision)| (job.clone(), revision)) else {
             return false;
         };
         let cleared = self.cleared_shards(now, &job);
@@ -90,6 +91,7 @@
             shards_with_job: shards_with_job.collect(),
         };
         self.cancellation.rounds.is_complete(round, &view)
+            && self.have_live_leases_ended(now, round, revision)
     }
 
     /// Returns the owned shards in which all tasks of a cancelled job are proved to be gone. Once the
@@ -108,8 +110,8 @@
         self.cancellation.rounds.close(round);
     }
 
-    /// Applies a cancellation before the store's events show it: the job's tasks are stopped, and none is
-    /// started.
+    /// Applies a cancellation before the store's events show it: the job's tasks are stopped, none is
+    /// started, and no user is answered any more that the job is live.
     pub(super) fn apply_cancellation(
         &mut self,
         now: MonotonicTime,
@@ -119,6 +121,7 @@
         effects: &mut Vec<Effect>,
     ) {
         self.cache.apply_cancellation(job, revision);
+        self.read_leases.revoked.revoke(now, job);
         let machines = self.cache.machines_with_job(job).cloned().collect();
         self.cancellation
             .deadlines
--- a/src/daemon/forwarding.rs
+++ b/src/daemon/forwarding.rs
@@ -21,11 +21,14 @@
 }
 
 /// Forwards a request to a peer that reaches the key-value store and returns its response, also one
-/// that only asks to retry (status 500 or above). Returns `None` if no such peer is known, it did
-/// not respond in time, or too many forwarded requests are pending.
+/// that only asks to retry (status 500 or above). A response that may be outdated is replaced by one
+/// that asks to retry. Returns `None` if no such peer is known, it did not respond in time, or too
+/// many forwarded requests are pending.
 pub(super) async fn forward_to_peer_with_store(node: &Node, request: &Request) -> Option<Response> {
     let peer = node.peer_store_access.most_recent_peer()?;
-    forward_to(node, &peer, request).await
+    let forwarded_at = node.now();
+    let response = forward_to(node, &peer, request).await?;
+    Some(node.api.check_forwarded(response, forwarded_at))
 }
 
 /// Returns whether a response settles the request. A status of 500 or above only asks the user to
--- a/src/daemon/heartbeat_endpoint.rs
+++ b/src/daemon/heartbeat_endpoint.rs
@@ -3,6 +3,7 @@
 
 use super::forwarding;
 use super::node::Node;
+use crate::api::ControllerDriver;
 use crate::http::{Request, Response};
 use crate::protocol::{self, Heartbeat};
 use crate::worker_control::HeartbeatAnswer;
@@ -18,7 +19,7 @@
     if !node.watch_cache_loaded.get() {
         return Response::retry_later("not ready yet", 1);
     }
-    let answer = node.update_and_get(|controller, now| controller.on_heartbeat(now, &heartbeat));
+    let answer = node.drive(|controller, now| controller.on_heartbeat(now, &heartbeat));
     if let HeartbeatAnswer::Redirect(Some(owner)) = &answer {
         let machine = &heartbeat.machine;
         let forwarded = forwarding::forward_heartbeat(node, owner, machine, request).await;
@@ -34,8 +35,7 @@
     let Ok(heartbeat) = Heartbeat::parse(body) else {
         return Response::error(400, "unreadable report");
     };
-    let answer =
-        node.update_and_get(|controller, now| controller.on_relayed_heartbeat(now, &heartbeat));
+    let answer = node.drive(|controller, now| controller.on_relayed_heartbeat(now, &heartbeat));
     to_response(answer.unwrap_or(HeartbeatAnswer::Redirect(None)))
 }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,7 +6,6 @@
 //! carries out the effects that the controller returns.
 
 mod admin_endpoints;
-mod cancellation_confirmation;
 mod cloud_calls;
 mod effects;
 mod endpoint;
@@ -25,7 +24,7 @@
 mod tick_loop;
 mod user_endpoints;
 
-use crate::api::Cancellation;
+use crate::api::{Cancellation, confirm_cancellations};
 use crate::config::Config;
 use crate::http;
 use crate::peers::listen;
@@ -78,10 +77,7 @@
     scope.spawn(tick_loop::tick_loop(node.clone()));
     scope.spawn(episode_log::log_ended_episodes(node.clone()));
     scope.spawn(peer_status::publish_peer_status(node.clone()));
-    scope.spawn(cancellation_confirmation::confirm_cancellations(
-        node.clone(),
-        cancellations,
-    ));
+    scope.spawn(confirm_cancellations(node.clone(), cancellations));
     let receiver = node.clone();
     scope.spawn(listen(
         peer_listener,
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -4,7 +4,7 @@
 use super::endpoint::ResponseStats;
 use super::membership_log::MembershipLog;
 use super::peer_store_access::PeerStoreAccess;
-use crate::api::{Cancellation, JobApi};
+use crate::api::{Cancellation, ControllerDriver, JobApi};
 use crate::config::Config;
 use crate::controller::{Controller, Effect};
 use crate::episodes::Episodes;
@@ -119,17 +119,7 @@
         self: &Rc<Self>,
         input: impl FnOnce(&mut Controller, MonotonicTime) -> Vec<Effect>,
     ) {
-        self.update_and_get(|controller, now| ((), input(controller, now)));
-    }
-
-    /// Passes an input to the controller, carries out the effects and returns the input's result.
-    pub(super) fn update_and_get<T>(
-        self: &Rc<Self>,
-        input: impl FnOnce(&mut Controller, MonotonicTime) -> (T, Vec<Effect>),
-    ) -> T {
-        let (result, effects) = input(&mut self.controller.borrow_mut(), self.now());
-        self.execute(effects);
-        result
+        self.drive(|controller, now| ((), input(controller, now)));
     }
 
     /// Sends a message to a peer, directly or, if this node does not reach the peer, through a
@@ -162,3 +152,14 @@
         self.watch_cache_loaded.get() && self.controller.borrow().cache.catalog.is_some()
     }
 }
+
+impl ControllerDriver for Rc<Node> {
+    fn drive<T>(
+        &self,
+        input: impl FnOnce(&mut Controller, MonotonicTime) -> (T, Vec<Effect>),
+    ) -> T {
+        let (result, effects) = input(&mut self.controller.borrow_mut(), self.now());
+        self.execute(effects);
+        result
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 mod placement;
 mod planning;
 mod protocol;
+mod read_leases;
 mod runtime;
 #[cfg(test)]
 mod simulation;
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -247,7 +247,7 @@
 }
 
 /// The response to a submission, a poll or a cancellation.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct JobStatus<'a> {
     /// The job's id.
     pub id: &'a str,
@@ -255,9 +255,9 @@
     #[serde(rename = "standing")]
     pub state: JobState,
     /// Number of tasks that are done, for display.
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub done: Option<u64>,
     /// Number of tasks that are placed on machines, for display.
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub running: Option<u64>,
 }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -11,9 +11,7 @@
 mod net;
 mod timer;
 
-#[cfg(test)]
-pub(crate) use channel::Oneshot;
-pub(crate) use channel::{Receiver, Sender, channel, oneshot};
+pub(crate) use channel::{Oneshot, Receiver, Sender, channel, oneshot};
 pub(crate) use clock::now;
 #[cfg(test)]
 pub(crate) use clock::virtual_time::run_in_virtual_time;
