--- a/src/api/leased_answers/tests.rs
+++ b/src/api/leased_answers/tests.rs
@@ -1,7 +1,7 @@
 //! Late answers of the key-value store, one order of events at a time. `api::tests::answer_order` draws
 //! them.
 
-use crate::api::tests::delayed_cluster::{CONTROLLERS, DelayedCluster, Troubles};
+use crate::api::tests::delayed_cluster::{DelayedCluster, Troubles, all_links};
 use crate::api::tests::{body, in_virtual_time, job_state};
 use crate::http::Response;
 use crate::protocol::JobState;
@@ -20,7 +20,7 @@
 /// The time after which a comparison that was requested is under way.
 const COMPARED: Duration = Duration::from_millis(170);
 
-/// The answers to a poll at one controller and to a request at another, with the time of each.
+/// The status and the job's state in an answer, and the time since the poll was sent.
 #[derive(Debug)]
 struct Timed {
     answer: (u16, String),
@@ -28,9 +28,8 @@
 }
 
 fn no_links() -> Troubles {
-    let links = (0..CONTROLLERS).flat_map(|from| (0..CONTROLLERS).map(move |to| (from, to)));
     Troubles {
-        cut_links: links.collect(),
+        cut_links: all_links().collect(),
         ..Troubles::default()
     }
 }
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -8,6 +8,7 @@
 //! - A blocked job has dependencies that are not done yet. Its tasks may not start before the leader
 //!   has released it, by writing the time into its record, once all its dependencies are done.
 //! - A cancellation is confirmed once no task of the job can be running on any machine.
+//! - A read lease is the time for which an answer may rest on a read (see `read_leases`).
 //! - A job that has ended is settled once its user may be told: a cancelled job when its cancellation is
 //!   confirmed and all its dependents are cancelled, a job that is done at once.
 
--- a/src/api/tests/answer_order.rs
+++ b/src/api/tests/answer_order.rs
@@ -2,7 +2,7 @@
 //! key-value store and messages between controllers are held back. Once a user was told that a job is
 //! accepted, done or cancelled, no answer may say something older.
 
-use super::delayed_cluster::{CONTROLLERS, DelayedCluster, Troubles};
+use super::delayed_cluster::{CONTROLLERS, DelayedCluster, Troubles, all_links};
 use super::{body, in_virtual_time, job_state};
 use crate::api::JobApi;
 use crate::http::Response;
@@ -72,7 +72,7 @@
     Cancellation,
 }
 
-/// A job and what its users were told.
+/// A job that users send requests about.
 struct UserJob {
     id: JobId,
     /// The job that it depends on, if any.
@@ -275,9 +275,10 @@
 /// Draws the troubles of a run.
 fn draw_troubles(seed: u64) -> Troubles {
     let mut random = StdRng::seed_from_u64(seed ^ 0x5eed);
-    let links = (0..CONTROLLERS).flat_map(|from| (0..CONTROLLERS).map(move |to| (from, to)));
     let cut_share = [0.0, 0.0, 0.3, 1.0][random.random_range(0..4)];
-    let cut_links = links.filter(|_| random.random_bool(cut_share)).collect();
+    let cut_links = all_links()
+        .filter(|_| random.random_bool(cut_share))
+        .collect();
     let refused = random.random_range(0..CONTROLLERS);
     Troubles {
         held_responses: random.random_range(0.0..0.5),
--- a/src/api/tests/delayed_cluster.rs
+++ b/src/api/tests/delayed_cluster.rs
@@ -86,6 +86,11 @@
     }
 }
 
+/// Returns all links between the controllers: sender and receiver.
+pub(crate) fn all_links() -> impl Iterator<Item = (usize, usize)> {
+    (0..CONTROLLERS).flat_map(|from| (0..CONTROLLERS).map(move |to| (from, to)))
+}
+
 fn member(index: usize) -> MemberId {
     MemberId::from(format!("c{index}").as_str())
 }
